--- /dev/null
+++ b/internal/adapter/adapter.go
@@ -0,0 +1,325 @@
+// Package adapter puts the decision module behind the wire: it hosts the instances, keeps the links in hand
+// and their timers, and decides nothing.
+package adapter
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"valeshift/internal/wire"
+	"valeshift/logic"
+)
+
+// hand is a link in hand.
+type hand struct {
+	logic.Link
+	id    uint32
+	round int     // number of the setup try that is out, or was last
+	again float64 // when to ask again about a link that is held, or +Inf
+}
+
+// instance is one relay.
+type instance struct {
+	number   uint16
+	balancer *logic.Balancer
+	links    map[uint32]*hand
+	held     []*hand
+	wake     float64 // when the timer that counts fires
+	ticket   uint32
+	touched  bool
+}
+
+// host runs all instances of this process.
+type host struct {
+	in        *wire.Reader
+	out       *wire.Writer
+	instances map[uint16]*instance
+	touched   []*instance
+	speaker   int
+	pages     [16][]byte
+	report    []float64
+	now       float64
+}
+
+// Run answers batch after batch until the input ends.
+func Run(in io.Reader, out io.Writer) error {
+	h := &host{in: wire.NewReader(in), out: wire.NewWriter(out), instances: map[uint16]*instance{}}
+	for {
+		err := h.in.Next()
+		if errors.Is(err, wire.ErrEnd) {
+			return nil
+		}
+		if err == nil {
+			err = h.batch()
+		}
+		if err != nil {
+			return err
+		}
+		if err := h.out.Send(h.in.Number); err != nil {
+			return fmt.Errorf("reply %d: %w", h.in.Number, err)
+		}
+	}
+}
+
+func (h *host) batch() error {
+	h.now, h.speaker, h.touched = h.in.Clock, -1, h.touched[:0]
+	var i *instance
+	for range h.in.Records {
+		at := h.in.Offset()
+		code := h.in.U16()
+		switch code {
+		case wire.About:
+			number := h.in.U16()
+			if i = h.instances[number]; i == nil {
+				i = &instance{number: number}
+				h.instances[number] = i
+			}
+		case wire.SnapshotRows:
+			page := h.in.U32()
+			rows := h.in.Counted(int(h.in.U32()), wire.EntrySize)
+			if h.in.Err == nil && page >= uint32(len(h.pages)) {
+				return fmt.Errorf("offset %d: a page number under %d expected, got %d", at+2, len(h.pages), page)
+			}
+			if h.in.Err == nil {
+				h.pages[page] = append(h.pages[page][:0], rows...)
+			}
+		default:
+			if i == nil {
+				return fmt.Errorf("offset %d: an About record expected before code %d", at, code)
+			}
+			if !i.touched {
+				i.touched = true
+				h.touched = append(h.touched, i)
+			}
+			if err := h.event(i, code, at); err != nil {
+				return err
+			}
+		}
+		if h.in.Err != nil {
+			return h.in.Err
+		}
+	}
+	if err := h.in.Done(); err != nil {
+		return err
+	}
+	for _, i := range h.touched {
+		i.touched = false
+		h.drive(i)
+	}
+	return nil
+}
+
+// event hands one record to the instance's module. A record for an instance that never began, or of a link or
+// server not known any more, is read and dropped.
+func (h *host) event(i *instance, code uint16, at int) error {
+	in := h.in
+	switch code {
+	case wire.Hello:
+		seed := in.U64()
+		text := in.Counted(int(in.U32()), 1)
+		if in.Err != nil {
+			return in.Err
+		}
+		*i = instance{number: i.number, touched: true, links: map[uint32]*hand{}, wake: math.Inf(1)}
+		var err error
+		if i.balancer, err = assemble(seed, string(text)); err != nil {
+			h.say(i, wire.InternalError).Text(err.Error())
+		}
+	case wire.CrashNow:
+		*i = instance{number: i.number, touched: true}
+	case wire.DirectoryUpdate:
+		how, page := in.U8(), in.U32()
+		in.U64()
+		if in.Err == nil && how > 3 {
+			return fmt.Errorf("offset %d: a kind of list news up to 3 expected, got %d", at+2, how)
+		}
+		if in.Err == nil && how != 3 && page >= uint32(len(h.pages)) {
+			return fmt.Errorf("offset %d: a page number under %d expected, got %d", at+3, len(h.pages), page)
+		}
+		if in.Err == nil && i.balancer != nil {
+			h.list(i.balancer, how, page)
+		}
+	case wire.Incoming, wire.Resumed:
+		l := &hand{id: in.U32(), again: math.Inf(1)}
+		l.Category, l.Party, l.Key, l.Limit = int(in.U8()), int(in.U32()), in.U64(), in.F64()
+		hint, group, options := in.F64(), in.U64(), in.U16()
+		if options&1 != 0 && hint > 0 {
+			l.Hint = hint * 1000
+		}
+		l.Group, l.MidFlow = group, options&8 != 0
+		server := uint32(0)
+		if code == wire.Resumed {
+			server = in.U32()
+		}
+		if in.Err != nil || i.balancer == nil {
+			return in.Err
+		}
+		if !i.balancer.Knows(l.Category) {
+			return fmt.Errorf("offset %d: a category of the settings expected, got %d", at+6, l.Category)
+		}
+		i.links[l.id] = l
+		if code == wire.Resumed {
+			i.balancer.Resumed(h.now, &l.Link, server)
+		} else {
+			h.carry(i, l, i.balancer.Place(h.now, &l.Link))
+		}
+	case wire.Accepted:
+		l, round := i.links[in.U32()], int(in.U16())
+		in.U32()
+		in.F64()
+		if in.Err == nil && l != nil && l.round == round {
+			i.balancer.Accepted(h.now, &l.Link)
+		}
+	case wire.HintUpdate:
+		l, round := i.links[in.U32()], int(in.U16())
+		in.U32()
+		what, amount := in.U8(), in.F32()
+		if in.Err == nil && l != nil && l.round == round && what == 1 {
+			i.balancer.Weighed(h.now, &l.Link, amount)
+		}
+	case wire.Completed:
+		l, last, round := i.links[in.U32()], in.U8() != 0, int(in.U16())
+		server := in.U32()
+		in.F64()
+		reason := in.U8()
+		h.report = in.Report(h.report)
+		if in.Err == nil && i.balancer != nil && len(h.report) > 0 {
+			i.balancer.Reported(h.now, server, h.report)
+		}
+		if in.Err == nil && l != nil && l.round == round {
+			h.carry(i, l, i.balancer.After(h.now, &l.Link, outcome(reason), last))
+		}
+	case wire.Vanished:
+		if l := i.links[in.U32()]; in.Err == nil && l != nil {
+			if !i.balancer.Vanished(&l.Link) {
+				h.drop(i, l)
+			}
+		}
+	case wire.Health:
+		server := in.U32()
+		in.F64()
+		reason := in.U8()
+		h.report = in.Report(h.report)
+		if in.Err == nil && i.balancer != nil {
+			i.balancer.Probed(h.now, server, reason == 0, h.report)
+		}
+	case wire.Fired:
+		if ticket := in.U32(); ticket == i.ticket {
+			i.wake = math.Inf(1)
+		}
+	case wire.NeighbourSays:
+		in.U32()
+		in.Bytes(int(in.U16()))
+	default:
+		return fmt.Errorf("offset %d: a code of the wire expected, got %d", at, code)
+	}
+	return in.Err
+}
+
+// outcome puts our word to the wire's reason; one not known may have run.
+func outcome(reason uint8) logic.Outcome {
+	switch reason {
+	case 0:
+		return logic.Satisfied
+	case 8:
+		return logic.TurnedAway
+	case 4:
+		return logic.TimedOut
+	case 14:
+		return logic.Unreachable
+	case 10:
+		return logic.Broken
+	case 1:
+		return logic.CalledOff
+	case 9:
+		return logic.Unsent
+	}
+	return logic.Errored
+}
+
+func (h *host) list(b *logic.Balancer, how uint8, page uint32) {
+	if how == 3 {
+		b.ListFailed(h.now)
+		return
+	}
+	b.ListBegan(h.now, how != 0)
+	rows := wire.Over(h.pages[page])
+	for n := len(h.pages[page]) / wire.EntrySize; n > 0; n-- {
+		zone, condition, cell := int(rows.U8()), logic.Condition(rows.U8()), int(rows.U16())
+		started := rows.F64()
+		rows.U8()
+		weight, id := rows.F32(), rows.U32()
+		b.Listed(h.now, id, zone, condition, cell, started, weight)
+	}
+	b.ListEnded(h.now)
+}
+
+// say begins an action of the instance.
+func (h *host) say(i *instance, code uint16) *wire.Writer {
+	if h.speaker != int(i.number) {
+		h.speaker = int(i.number)
+		h.out.Record(wire.OnBehalf).U16(i.number)
+	}
+	return h.out.Record(code)
+}
+
+func (h *host) drop(i *instance, l *hand) {
+	l.again = math.Inf(1)
+	delete(i.links, l.id)
+}
+
+// carry does what the module answered.
+func (h *host) carry(i *instance, l *hand, a logic.Answer) {
+	l.again = math.Inf(1)
+	switch a.Verdict {
+	case logic.Send:
+		l.round = a.Round
+		h.say(i, wire.Assign).U32(l.id).U32(a.Backend).F64(a.Timeout)
+	case logic.Hold:
+		l.again = h.now + a.Wait
+		i.held = append(i.held, l)
+	case logic.Reject:
+		h.say(i, wire.NotNow).U32(l.id).F64(a.Wait)
+		h.drop(i, l)
+	case logic.Fail:
+		h.say(i, wire.RespondError).U32(l.id)
+		h.drop(i, l)
+	case logic.Over:
+		h.drop(i, l)
+	}
+}
+
+// drive asks again about held links, sends what is due, and sees to it that a timer brings the next look.
+func (h *host) drive(i *instance) {
+	if i.balancer == nil {
+		return
+	}
+	waiting := i.held
+	i.held = i.held[len(i.held):]
+	for _, l := range waiting {
+		if l.again <= h.now {
+			h.carry(i, l, i.balancer.Place(h.now, &l.Link))
+		} else if !math.IsInf(l.again, 1) {
+			i.held = append(i.held, l)
+		}
+	}
+	due := i.balancer.Next(h.now)
+	for ; due.Probing || due.Subscribe; due = i.balancer.Next(h.now) {
+		if due.Probing {
+			h.say(i, wire.Test).U32(due.Probe)
+		} else {
+			h.say(i, wire.Subscribe).U8(1)
+		}
+	}
+	wake := h.now + due.Wait
+	for _, l := range i.held {
+		wake = min(wake, l.again)
+	}
+	if wake < i.wake {
+		i.wake = wake
+		i.ticket++
+		h.say(i, wire.Schedule).F64(min(max(wake-h.now, 0), 3.6e6)).U32(i.ticket)
+	}
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,639 @@
+// Package logic decides for one relay where each new link goes, by weighted turns whose bucket counts follow
+// probed load. A link that stands keeps its server for life.
+//
+// Callers use it like a client library, one Balancer a relay, never shared. Three calls answer: Place (where
+// to send this link, or not yet, or never), After (what to do after this outcome) and Next (how long to wait,
+// and the probe or subscription due; asked until it names none). What is seen comes in by ListBegan, Listed,
+// ListEnded, ListFailed, Probed, Accepted, Noted, Resumed and Vanished, which answer nothing. Plain types are
+// in types.go; the interface is the exported methods of Balancer; New takes each part with its own settings.
+// Times are milliseconds on the caller's clock.
+package logic
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// The design's constants, as its page gives them.
+const (
+	alpha       = 0.5
+	base        = 10
+	fewest      = 2
+	most        = 3 * base
+	nearZero    = 0.01   // a mean load under this says nothing of who is busier
+	probeEvery  = 1000.0 // the design's start; five seconds is its bound for servers in use
+	rebuildTime = 1000.0 // no more rebuilds than reports to rebuild from
+)
+
+// What the design leaves open.
+const (
+	silentFor  = 2000.0 // a silence this long may have been a restart
+	retryProbe = 300.0  // how soon a doubted server is asked again
+	reportLag  = 1500.0 // a report may be this old, so links placed since are added to it
+	comfort    = 0.65   // below this a server is not crowded: zones and groups may choose
+	room       = 0.90   // above this a link of the mean gain per load finds no room
+	roomSpread = 0.15   // how far gain per load moves that bound
+	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
+	holdStep   = 50.0
+	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
+	askPart    = 0.8    // of the time after which silence counts as told
+	probeShare = 0.006  // what probes may cost a link, in points of the whole
+	slowest    = 4000.0 // the design's bound of five seconds, less the answer's way
+)
+
+// buckets is the paper's formula. A load that is not known comes in as the mean.
+func buckets(load, mean float64) int {
+	if mean < nearZero {
+		return base
+	}
+	n := math.Round(base * mean / ((1-alpha)*load + alpha*mean))
+	return int(min(max(n, fewest), most))
+}
+
+// build spreads each server's buckets evenly. Phases differ by the golden section, since servers with like
+// counts would otherwise come up in clumps, in the same order in every round.
+func (t *Turns) build(now float64) {
+	t.table = t.table[:0]
+	for s, n := range t.counts {
+		_, phase := math.Modf(float64(s+1) * 0.6180339887)
+		for k := range n {
+			t.table = append(t.table, bucket{(float64(k) + phase) / float64(n), s})
+		}
+	}
+	slices.SortFunc(t.table, func(a, b bucket) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server))
+	})
+	if len(t.table) > 0 {
+		t.at = t.chance.Intn(len(t.table))
+	}
+	t.built, t.stale = now, false
+}
+
+// next walks on to the first bucket whose server may take the link.
+func (t *Turns) next(may func(server int) bool) int {
+	for range t.table {
+		s := t.table[t.at].server
+		t.at = (t.at + 1) % len(t.table)
+		if may(s) {
+			return s
+		}
+	}
+	return -1
+}
+
+// due tells when to subscribe next. Against a subscription that died without a word: its silence is
+// counted, and well inside the time after which this relay counts as told of all that it missed.
+func (r *Roster) due() float64 {
+	if !r.asked {
+		return math.Inf(1)
+	}
+	return r.askAt
+}
+
+// good wants two failures before a server is out: one lost probe or one stall is not a death.
+func (h *Health) good(s int) bool { return h.failed[s] < 2 }
+
+// part is the least that the server can do now, as a part of its capacity.
+func (w *Warmup) part(s int, now float64) float64 {
+	if w.length <= 0 {
+		return 1
+	}
+	return min(1, w.from+(1-w.from)*max(0, now-w.since[s])/w.length)
+}
+
+func (w *Warmup) chill(s int, since, now float64) {
+	w.since[s], w.asOf[s] = since, now
+	// Against all relays spending their first link on it at the same moment.
+	w.tokens[s] = w.chance.Float64() * 0.8
+}
+
+// ready keeps one relay's part of the budget: links come no faster than the server's present capacity,
+// split evenly over the relays, so that no agreement is needed.
+func (w *Warmup) ready(s int, now, capacity, weight float64) bool {
+	part := w.part(s, now)
+	if part >= 1 {
+		return true
+	}
+	rate := min(coldPace, w.multiple/2) * part * capacity / w.relays
+	w.tokens[s] = min(1, w.tokens[s]+rate*(now-w.asOf[s]))
+	w.asOf[s] = now
+	return w.tokens[s] >= min(1, weight)
+}
+
+// figure makes a load from a report: x0 is one already; the others are stand-ins, of which the busy part of
+// the cores is nearest. Against a lie: a figure that is no number, or negative, is no figure.
+func (p *Probing) figure(report []float64, weight float64) float64 {
+	best, rank := math.NaN(), len(standIns)
+	for i, name := range p.fields {
+		at := slices.Index(standIns[:], name)
+		if i >= len(report) || at < 0 || at >= rank {
+			continue
+		}
+		if v := report[i]; v >= 0 && !math.IsInf(v, 1) {
+			best, rank = v, at
+			if name != "x0" && name != "cpu" && weight > 0 {
+				best /= weight
+			}
+		}
+	}
+	return best
+}
+
+// standIns are the report fields a load can be read from, the best first.
+var standIns = [...]string{"x0", "cpu", "active", "rps", "waiting", "x1", "avg_ms"}
+
+// absolute tells whether loads are parts of a capacity, so that bounds on them mean something.
+func (p *Probing) absolute() bool {
+	return slices.Contains(p.fields, "x0") || slices.Contains(p.fields, "cpu")
+}
+
+// again tells whether another setup try is allowed at all now.
+func (e *Effects) again(l *Link, now float64) bool {
+	c := &e.categories[l.Category]
+	if l.tries >= e.mostTries || now >= l.Limit {
+		return false
+	}
+	return l.ran < 0 || c.Effect == Replayable || (c.Effect == Referenced && now < l.ranAt+c.RepeatWindow)
+}
+
+// end gives the link up, at once. Against telling a client to repeat what may have run: then it is an error.
+func (e *Effects) end(l *Link, now, back float64) Answer {
+	c := &e.categories[l.Category]
+	back = min(back, e.maxBack)
+	harmless := l.ran < 0 || c.Effect == Replayable ||
+		(c.Effect == Referenced && c.Scope == ScopeAll && now+back < l.ranAt+c.RepeatWindow)
+	if !harmless {
+		return Answer{Verdict: Fail}
+	}
+	return Answer{Verdict: Reject, Wait: back}
+}
+
+const rateMemory = 15000.0
+
+func (s *Shares) arrive(c int, now float64) {
+	if math.IsNaN(s.last) {
+		s.last = now
+	}
+	fade := math.Exp((s.last - now) / rateMemory)
+	s.rate = s.rate*fade + 1/rateMemory
+	for i := range s.arrived {
+		s.arrived[i] *= fade
+	}
+	s.arrived[c]++
+	s.last = now
+}
+
+// weigh learns what links of a category weigh.
+func (s *Shares) weigh(c int, load float64) {
+	s.weighed[c] = min(s.weighed[c]+1, 50)
+	s.loads[c] += (load - s.loads[c]) / s.weighed[c]
+	sum, n := 0.0, 0.0
+	for i, w := range s.weighed {
+		sum, n = sum+s.loads[i]*w, n+w
+	}
+	s.loadMean = sum / n
+}
+
+// expected is the load of a link not yet measured: its category's, drawn to the mean while few are known.
+func (s *Shares) expected(c int) float64 {
+	return (s.loads[c]*s.weighed[c] + s.loadMean*2) / (s.weighed[c] + 2)
+}
+
+// worth is the link's gain per load over the mean's, as it arrives.
+func (s *Shares) worth(l *Link) float64 {
+	gain, load := 0.0, 0.0
+	for i, n := range s.arrived {
+		gain, load = gain+n*s.categories[i].Gain, load+n*s.expected(i)
+	}
+	if gain <= 0 || load <= 0 {
+		return 1
+	}
+	own := s.categories[l.Category].Gain
+	if l.Party < len(s.parties) {
+		if p := s.parties[l.Party]; p.Links > 0 && s.held[l.Party]*s.relays > p.Links {
+			own *= s.beyond
+		}
+	}
+	return own / max(l.load, 1e-9) / (gain / load)
+}
+
+// ListBegan starts news of the list; whole news lists every server there is.
+func (b *Balancer) ListBegan(now float64, whole bool) {
+	b.whole = whole
+	for s := range b.mentioned {
+		b.mentioned[s] = false
+	}
+}
+
+// Listed takes one entry.
+func (b *Balancer) Listed(now float64, id uint32, zone int, cond Condition, cell int, started, weight float64,
+) {
+	s, known := b.index[id]
+	if !known {
+		if cond == Gone {
+			return
+		}
+		s = b.add(id)
+		b.started[s] = started
+		if started > 0 {
+			b.warmup.chill(s, started, now)
+		}
+	} else if started > b.started[s] {
+		// A restart under the same id is a cold server: figures from before say nothing of it.
+		b.started[s] = started
+		b.warmup.chill(s, started, now)
+		b.probing.load[s] = math.NaN()
+		b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
+		b.health.failed[s] = 0
+	}
+	if b.condition[s] != cond {
+		b.turns.stale, b.turns.built = true, math.Inf(-1)
+	}
+	b.condition[s], b.zones[s], b.cells[s], b.weights[s], b.mentioned[s] = cond, zone, cell, weight, true
+}
+
+// ListEnded closes the news. What whole news left out is gone.
+func (b *Balancer) ListEnded(now float64) {
+	for s := range b.mentioned {
+		if b.whole && !b.mentioned[s] && b.condition[s] != Gone {
+			b.condition[s] = Gone
+			b.turns.stale, b.turns.built = true, math.Inf(-1)
+		}
+	}
+	if b.heard { // the cached list at the start is no answer
+		b.askAt, b.failures = now+b.askWithin*askPart, 0
+	}
+	b.heard = true
+}
+
+// ListFailed takes a failed call or a broken subscription.
+func (b *Balancer) ListFailed(now float64) {
+	b.failures = min(b.failures+1, 4)
+	b.askAt = now + float64(int(100)<<b.failures)*(0.5+b.turns.chance.Float64())
+}
+
+// add finds an index: that of a server gone with nothing left on it, or a new one.
+func (b *Balancer) add(id uint32) int {
+	s := slices.IndexFunc(b.ids, func(old uint32) bool {
+		i := b.index[old]
+		return b.condition[i] == Gone && b.links[i] == 0
+	})
+	nan, never := math.NaN(), math.Inf(-1)
+	if s < 0 {
+		s = len(b.ids)
+		b.ids, b.condition, b.zones = append(b.ids, 0), append(b.condition, Gone), append(b.zones, 0)
+		b.cells, b.started, b.mentioned = append(b.cells, 0), append(b.started, 0), append(b.mentioned, false)
+		h, w, p := &b.health, b.warmup, b.probing
+		h.failed, h.lost = append(h.failed, 0), append(h.lost, false)
+		w.since, w.tokens, w.asOf = append(w.since, never), append(w.tokens, 0), append(w.asOf, 0)
+		p.load, p.sentAt, p.askedAt = append(p.load, nan), append(p.sentAt, nan), append(p.askedAt, never)
+		p.since, p.fresh = append(p.since, nil), append(p.fresh, 0)
+		b.linkLoads, b.links = append(b.linkLoads, 0), append(b.links, 0)
+		b.weights, b.turns.counts = append(b.weights, 1), append(b.turns.counts, 0)
+	}
+	delete(b.index, b.ids[s])
+	b.index[id], b.ids[s] = s, id
+	b.health.failed[s], b.health.lost[s] = 0, false
+	b.warmup.since[s] = never
+	b.probing.load[s], b.probing.sentAt[s], b.probing.askedAt[s] = nan, nan, never
+	b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
+	return s
+}
+
+// refresh rebuilds the table from the figures, when there is news and not sooner than reports can tell any.
+func (b *Balancer) refresh(now float64) {
+	if !b.turns.stale || now < b.turns.built+rebuildTime {
+		return
+	}
+	sum, known := 0.0, 0.0
+	b.ready = 0
+	for s, c := range b.condition {
+		if c == Ready && b.health.good(s) {
+			b.ready++
+			if !math.IsNaN(b.probing.load[s]) {
+				sum, known = sum+b.load(s), known+1
+			}
+		}
+	}
+	b.mean = 0
+	if known > 0 {
+		b.mean = sum / known
+	}
+	own := 0.0
+	for _, l := range b.linkLoads {
+		own += l
+	}
+	if sum > nearZero*known {
+		// The most seen: a relay just restarted holds less than its part of the links.
+		b.capacity = max(b.capacity, own*b.shares.relays/sum*known/b.ready)
+	}
+	for s, c := range b.condition {
+		b.turns.counts[s] = 0
+		if c == Ready && b.health.good(s) {
+			l := b.load(s)
+			if b.warmup.part(s, now) < 1 {
+				l = max(l, b.mean) // a cold server is idle because it is cold: no more than an even share
+			}
+			b.turns.counts[s] = buckets(l, b.mean)
+		}
+	}
+	b.turns.build(now)
+}
+
+// load is the server's figure with what this relay has put there since: against a wave of links inside one
+// probe interval, all of which would follow the same figure.
+func (b *Balancer) load(s int) float64 {
+	l := b.probing.load[s]
+	if math.IsNaN(l) {
+		l = b.mean
+	}
+	if b.capacity > 0 {
+		l += b.probing.fresh[s] / b.capacity
+	}
+	return l
+}
+
+// Place says where to send this link, or not yet, or never.
+func (b *Balancer) Place(now float64, l *Link) Answer {
+	if !l.known {
+		l.known, l.came, l.ran, l.server = true, now, -1, -1
+		b.shares.arrive(l.Category, now)
+		if l.load = l.Hint; l.load <= 0 {
+			l.load = b.shares.expected(l.Category)
+		}
+	}
+	if !b.effects.again(l, now) {
+		return b.effects.end(l, now, b.effects.maxBack)
+	}
+	b.refresh(now)
+	s, crowded := b.choose(l, now)
+	if s < 0 {
+		c := &b.effects.categories[l.Category]
+		if !crowded && now < l.came+c.PromisedTime && now+holdStep < l.Limit {
+			return Answer{Verdict: Hold, Wait: holdStep}
+		}
+		return b.effects.end(l, now, b.effects.maxBack)
+	}
+	l.tries, l.server, l.sent, l.out = l.tries+1, s, now, true
+	b.book(l, s)
+	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
+	b.probing.fresh[s] += l.load
+	if b.warmup.part(s, now) < 1 {
+		b.warmup.tokens[s] -= l.load / b.shares.loadMean
+	}
+	timeout := l.Limit - now
+	if b.effects.again(l, now) && b.ready > 1 {
+		timeout *= tryPart
+	}
+	return Answer{Verdict: Send, Backend: b.ids[s], Timeout: timeout, Round: l.tries - 1}
+}
+
+// choose walks the turns over the servers that count as ready for this link; crowded tells that some are
+// there, but have no room for it.
+func (b *Balancer) choose(l *Link, now float64) (int, bool) {
+	avoid := l.server
+	linkRate := b.shares.rate * b.shares.relays / max(b.ready, 1) / max(b.mean, 0.1)
+	open := func(s int) bool {
+		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
+			b.warmup.ready(s, now, linkRate, l.load/b.shares.loadMean)
+	}
+	if s, ok := b.pinned[l.Key]; ok && l.MidFlow && b.condition[s] == Ready {
+		return s, false
+	}
+	calm := func(s int) bool {
+		return open(s) && (b.load(s) < comfort || !b.probing.absolute() && b.load(s) <= 1.5*b.mean)
+	}
+	near := func(s int) bool { return calm(s) && b.zones[s] == b.zone }
+	bound := room + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
+	fits := func(s int) bool {
+		return open(s) && (!b.probing.absolute() || b.capacity <= 0 || b.load(s)+l.load/b.capacity < bound)
+	}
+	if b.localFee {
+		if s := b.turn(l, near); s >= 0 {
+			return s, false
+		}
+	}
+	if s := b.turn(l, calm); s >= 0 {
+		return s, false
+	}
+	if s := b.turn(l, fits); s >= 0 {
+		return s, false
+	}
+	avoid = -1
+	if s := b.turn(l, fits); s >= 0 {
+		return s, false
+	}
+	return -1, b.turns.next(open) >= 0
+}
+
+// turn takes the next bucket that may have the link. A link of a group takes the bucket that its group draws:
+// each server still has chances by its buckets, but all relays draw alike, so the shared work is paid once.
+func (b *Balancer) turn(l *Link, may func(int) bool) int {
+	if !b.grouped || l.Group == 0 {
+		return b.turns.next(may)
+	}
+	best, least := -1, math.Inf(1)
+	for s, n := range b.turns.counts {
+		if n > 0 && may(s) {
+			if d := draw(l.Group, b.ids[s]) / float64(n); d < least {
+				best, least = s, d
+			}
+		}
+	}
+	return best
+}
+
+// draw is an exponential chance that depends on nothing but the group and the server.
+func draw(group uint64, id uint32) float64 {
+	x := group ^ uint64(id)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return -math.Log((float64((x^x>>31)>>11) + 0.5) / (1 << 53))
+}
+
+// sameScope keeps a referenced link that may have run where its repeat is dropped.
+func (b *Balancer) sameScope(l *Link, s int) bool {
+	c := &b.effects.categories[l.Category]
+	if l.ran < 0 || c.Effect == Replayable || c.Scope == ScopeAll {
+		return true
+	}
+	if c.Scope == ScopeZone {
+		return b.zones[s] == l.ranZone
+	}
+	return b.cells[s] == l.ranCell
+}
+
+func (b *Balancer) book(l *Link, s int) {
+	b.links[s]++
+	b.linkLoads[s] += l.load
+	if l.Party < len(b.shares.held) {
+		b.shares.held[l.Party]++
+	}
+	if b.pinned != nil && l.Key != 0 {
+		b.pinned[l.Key] = s
+	}
+}
+
+func (b *Balancer) unbook(l *Link) {
+	b.links[l.server]--
+	b.linkLoads[l.server] -= l.load
+	if l.Party < len(b.shares.held) {
+		b.shares.held[l.Party]--
+	}
+}
+
+// After says what to do after the outcome of a setup try, or of the link that it set up. Last tells that the
+// link is over with it.
+func (b *Balancer) After(now float64, l *Link, outcome Outcome, last bool) Answer {
+	if !l.out {
+		return Answer{}
+	}
+	s := l.server
+	l.out = false
+	b.unbook(l)
+	silent := b.health.failed[s] > 0 || now-b.probing.sentAt[s] > silentFor
+	switch {
+	case outcome == Broken && l.open && silent:
+		b.health.lost[s] = true
+	case outcome == Unreachable:
+		b.doubt(s, now)
+	case outcome == TimedOut && !l.open:
+		// Against a slow shared store, which times out set-ups everywhere: only the server's own probe tells.
+		b.probing.askedAt[s] = min(b.probing.askedAt[s], now-b.interval())
+	}
+	if last || l.open || l.gone {
+		return Answer{}
+	}
+	if !outcome.neverRan() && l.ran < 0 {
+		l.ran, l.ranAt, l.ranZone, l.ranCell = s, l.sent, b.zones[s], b.cells[s]
+	}
+	return b.Place(now, l)
+}
+
+// doubt counts a failure, and lets the next probe come soon.
+func (b *Balancer) doubt(s int, now float64) {
+	b.health.failed[s]++
+	if b.health.failed[s] == 2 {
+		b.turns.stale, b.turns.built = true, math.Inf(-1)
+	}
+}
+
+// Accepted takes that a link stands.
+func (b *Balancer) Accepted(now float64, l *Link) {
+	l.open = true
+	b.health.failed[l.server] = 0
+}
+
+// Resumed takes a link that stood before this relay knew of it.
+func (b *Balancer) Resumed(now float64, l *Link, id uint32) {
+	s, ok := b.index[id]
+	if !ok {
+		s = b.add(id)
+	}
+	if l.load = l.Hint; l.load <= 0 {
+		l.load = b.shares.expected(l.Category)
+	}
+	l.known, l.came, l.ran, l.server, l.tries, l.out, l.open = true, now, s, s, 1, true, true
+	b.book(l, s)
+}
+
+// Weighed takes what a link weighs now, in microseconds of work a second.
+func (b *Balancer) Weighed(now float64, l *Link, load float64) {
+	if !(load >= 0) || math.IsInf(load, 1) || !l.out {
+		return
+	}
+	if !l.measured {
+		l.measured = true
+		b.shares.weigh(l.Category, load)
+	}
+	b.linkLoads[l.server] += load - l.load
+	l.load = load
+}
+
+// Vanished takes that the client has left, and tells whether an outcome is still to come.
+func (b *Balancer) Vanished(l *Link) bool {
+	l.gone = true
+	return l.out
+}
+
+// Knows tells whether the settings name the category.
+func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
+
+// Probed takes the answer to a probe.
+func (b *Balancer) Probed(now float64, id uint32, ok bool, report []float64) {
+	s, known := b.index[id]
+	if !known {
+		return
+	}
+	b.probing.sentAt[s] = math.NaN()
+	if !ok {
+		b.doubt(s, now)
+		return
+	}
+	if b.health.lost[s] {
+		b.health.lost[s] = false
+		b.warmup.chill(s, now, now)
+	}
+	if !b.health.good(s) {
+		b.turns.built = math.Inf(-1)
+	}
+	b.health.failed[s] = 0
+	b.Reported(now, id, report)
+}
+
+// Reported takes a load report, late as it is.
+func (b *Balancer) Reported(now float64, id uint32, report []float64) {
+	s, known := b.index[id]
+	if !known {
+		return
+	}
+	p := b.probing
+	if f := p.figure(report, b.weights[s]); !math.IsNaN(f) {
+		p.load[s] = f
+	}
+	p.fresh[s] = 0
+	p.since[s] = slices.DeleteFunc(p.since[s], func(x placed) bool { return x.at < now-reportLag })
+	for _, x := range p.since[s] {
+		p.fresh[s] += x.load
+	}
+	b.turns.stale = true
+}
+
+// interval weighs what probes cost, a link, against how old figures may get.
+func (b *Balancer) interval() float64 {
+	n := float64(len(b.ids))
+	return min(max(probeEvery, n*b.probing.fee/(max(b.shares.rate, 1e-6)*probeShare)), slowest)
+}
+
+// Next says how long to wait, and which probe or subscription is due now; ask until none is.
+func (b *Balancer) Next(now float64) Due {
+	d := Due{Wait: b.due() - now}
+	if d.Wait <= 0 {
+		b.askAt = now + b.askWithin*askPart
+		return Due{Subscribe: true}
+	}
+	if !b.probing.allowed {
+		return d
+	}
+	every := b.interval()
+	for s, c := range b.condition {
+		if c != Ready || !math.IsNaN(b.probing.sentAt[s]) {
+			continue
+		}
+		if math.IsInf(b.probing.askedAt[s], -1) {
+			// Against all relays asking all servers at the same moments.
+			b.probing.askedAt[s] = now - b.turns.chance.Float64()*every
+		}
+		wait := b.probing.askedAt[s] + every - now
+		if f := b.health.failed[s]; f > 0 {
+			wait = b.probing.askedAt[s] + retryProbe - now
+		}
+		if wait <= 0 {
+			b.probing.askedAt[s], b.probing.sentAt[s] = now, now
+			return Due{Probing: true, Probe: b.ids[s]}
+		}
+		d.Wait = min(d.Wait, wait)
+	}
+	return d
+}
--- /dev/null
+++ b/logic/types.go
@@ -0,0 +1,272 @@
+package logic
+
+import (
+	"math"
+	"math/rand"
+)
+
+// Effect says what a second run of a link would do.
+type Effect uint8
+
+// Replayable may run again; referenced carries a mark by which a repeat is known; single-use never runs twice.
+const (
+	Replayable Effect = iota
+	Referenced
+	SingleUse
+)
+
+// Scope names the servers that drop repeats of a referenced link.
+type Scope uint8
+
+// The scopes, widest first.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Condition is what the list says of a server.
+type Condition uint8
+
+// The conditions of the list.
+const (
+	Gone Condition = iota
+	Ready
+	Draining
+)
+
+// Outcome is how a setup try, or the link that it set up, ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Satisfied Outcome = iota
+	Errored
+	TurnedAway
+	TimedOut
+	Unreachable
+	Broken
+	CalledOff
+	Unsent
+)
+
+// neverRan tells whether the outcome proves that nothing ran.
+func (o Outcome) neverRan() bool { return o == TurnedAway || o == Unreachable || o == Unsent }
+
+// Category is what the settings say of one kind of link.
+type Category struct {
+	PromisedTime, HardLimit, RepeatWindow, Gain float64
+	Effect                                      Effect
+	Scope                                       Scope
+}
+
+// Party is one customer's part of the service: links a second, and links open, for all relays together.
+type Party struct{ Rate, Links float64 }
+
+// Link is one client's connection, from its arrival until its end. The caller fills the first block.
+type Link struct {
+	Category, Party int
+	Key, Group      uint64
+	Limit           float64 // clock time by which its final answer is due
+	Hint            float64 // load expected, microseconds of work a second; 0 where unknown
+	MidFlow         bool    // its packets flowed through another relay until now
+
+	load      float64 // what it is held to weigh on its server now
+	server    int     // of its latest setup try
+	tries     int
+	sent      float64 // clock time of the latest setup try
+	came      float64 // clock time of the first question about it
+	ran       int     // the server of the first setup try that may have run, or -1
+	ranAt     float64
+	ranZone   int
+	ranCell   int
+	measured  bool // by a note
+	known     bool // to Place
+	open, out bool
+	gone      bool
+}
+
+// Verdict is the kind of an answer.
+type Verdict uint8
+
+// Over needs nothing more; Send, Reject and Fail are said at once; Hold means ask again after Wait.
+const (
+	Over Verdict = iota
+	Send
+	Hold
+	Reject
+	Fail
+)
+
+// Answer says what to do with a link.
+type Answer struct {
+	Verdict Verdict
+	Backend uint32  // for Send
+	Timeout float64 // for Send: when this setup try is given up
+	Round   int     // for Send: which of the link's setup tries this is, from 0
+	Wait    float64 // for Hold: when to ask again; for Reject: when the client should come back (0: unsaid)
+}
+
+// Due says how long to wait, and what is to be sent now.
+type Due struct {
+	Wait      float64
+	Probe     uint32
+	Probing   bool
+	Subscribe bool
+}
+
+type bucket struct {
+	at     float64
+	server int
+}
+
+// Turns is the table of buckets and the walk over it.
+type Turns struct {
+	chance *rand.Rand
+	counts []int
+	table  []bucket
+	at     int
+	built  float64
+	stale  bool
+}
+
+// NewTurns starts without a table.
+func NewTurns(chance *rand.Rand) *Turns {
+	return &Turns{chance: chance, built: math.Inf(-1), stale: true}
+}
+
+// Roster is what the list has said. Figures stand in parallel arrays under a small dense index.
+type Roster struct {
+	asked     bool
+	askWithin float64
+
+	index     map[uint32]int
+	ids       []uint32
+	condition []Condition
+	zones     []int
+	cells     []int
+	started   []float64
+	mentioned []bool
+	whole     bool
+	heard     bool
+	askAt     float64
+	failures  int
+}
+
+// NewRoster takes whether the list must be asked for, and within what time it counts as asked.
+func NewRoster(asked bool, askWithin float64) *Roster {
+	return &Roster{asked: asked, askWithin: askWithin, index: map[uint32]int{}}
+}
+
+// Health tells which servers answer.
+type Health struct {
+	failed []int  // failures in a row
+	lost   []bool // one of our links on it broke while it was silent
+}
+
+// Warmup is the budget of what a server just started is sent.
+type Warmup struct {
+	from, length, multiple float64
+	relays                 float64
+	chance                 *rand.Rand
+
+	since  []float64 // when it started cold, or -Inf
+	tokens []float64
+	asOf   []float64
+}
+
+// NewWarmup takes the part of its capacity a server starts at, when it is warm, the multiple of its present
+// capacity at which it falls, and how many relays send.
+func NewWarmup(from, length, multiple float64, relays int, chance *rand.Rand) *Warmup {
+	return &Warmup{from: from, length: length, multiple: multiple, relays: float64(relays), chance: chance}
+}
+
+// Probing asks servers for their load and keeps what they said.
+type Probing struct {
+	allowed bool
+	fee     float64
+	fields  []string
+	fresh   []float64
+
+	load    []float64 // NaN: no figure
+	sentAt  []float64 // of the probe that is out, or NaN
+	askedAt []float64
+	since   [][]placed // links of this relay that the figure may not hold yet
+}
+
+// NewProbing takes whether probes may be sent, the fee for one a link, and the names of the report's fields.
+func NewProbing(allowed bool, fee float64, fields []string) *Probing {
+	return &Probing{allowed: allowed, fee: fee, fields: fields}
+}
+
+type placed struct{ at, load float64 }
+
+// Effects keeps a link from running twice.
+type Effects struct {
+	categories []Category
+	mostTries  int
+	maxBack    float64 // the longest wait a client follows; 0 where none may be told
+}
+
+// NewEffects takes the categories, the most setup tries of a link and the longest retry-after (0: none).
+func NewEffects(categories []Category, mostTries int, maxBack float64) *Effects {
+	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack}
+}
+
+// Shares values links: gain per load, less beyond a party's share.
+type Shares struct {
+	categories []Category
+	parties    []Party
+	beyond     float64
+	relays     float64
+
+	held     []float64 // links open, a party
+	loads    []float64 // mean load of a category's links, as far as known
+	weighed  []float64 // how many links that mean stands on
+	arrived  []float64 // arrivals a category, decaying
+	rate     float64   // arrivals a millisecond at this relay
+	last     float64
+	loadMean float64
+}
+
+// NewShares takes categories, parties, what gain beyond a share is worth, and the number of relays.
+func NewShares(categories []Category, parties []Party, beyond float64, relays int) *Shares {
+	n := len(categories)
+	return &Shares{categories: categories, parties: parties, beyond: beyond, relays: float64(relays),
+		held: make([]float64, len(parties)), loads: make([]float64, n), weighed: make([]float64, n),
+		arrived: make([]float64, n), last: math.NaN(), loadMean: 1}
+}
+
+// Balancer decides for one relay.
+type Balancer struct {
+	*Roster
+	turns   *Turns
+	health  Health
+	warmup  *Warmup
+	probing *Probing
+	effects *Effects
+	shares  *Shares
+
+	zone      int
+	localFee  bool
+	grouped   bool
+	linkLoads []float64 // load of this relay's links, by server
+	links     []int
+	weights   []float64
+	pinned    map[uint64]int // by key, the server of a link, for packets that come back mid-flow
+	mean      float64
+	ready     float64
+	capacity  float64
+}
+
+// New joins the parts. Zone is the relay's own; crossing says that crossings of zones are paid for; grouped,
+// that links of a group share work; passing, that links outlive their relay.
+func New(roster *Roster, turns *Turns, warmup *Warmup, probing *Probing, effects *Effects, shares *Shares,
+	zone int, crossing, grouped, passing bool) *Balancer {
+	b := &Balancer{Roster: roster, turns: turns, warmup: warmup, probing: probing, effects: effects,
+		shares: shares, zone: zone, localFee: crossing, grouped: grouped}
+	if passing {
+		b.pinned = map[uint64]int{}
+	}
+	return b
+}
