Lower the bound at which a server has no room from 0.90 to 0.75

Cause: in all three incidents servers sat at a load of about 1, where nearly no message is in time, since a link was let in as soon as one had left.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	retryProbe = 300.0  // how soon a doubted server is asked again
 	reportLag  = 1500.0 // a report may be this old, so links placed since are added to it
 	comfort    = 0.65   // below this a server is not crowded: zones and groups may choose
-	room       = 0.90   // above this a link of the mean gain per load finds no room
+	room       = 0.75   // above this a link of the mean gain per load finds no room
 	roomSpread = 0.15   // how far gain per load moves that bound
 	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
 	holdStep   = 50.0
