Busy servers sit turns out; the bounds count the link's own expected load

Cause: the formula's counts differ by at most some threefold, so with heavy-tailed link loads a server already busier than the mean still drew links and tipped.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,7 @@
 	retryProbe = 300.0  // how soon a doubted server is asked again
 	reportLag  = 1500.0 // a report may be this old, so links placed since are added to it
 	comfort    = 0.65   // below this a server is not crowded: zones and groups may choose
+	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
 	room       = 0.75   // above this a link of the mean gain per load finds no room
 	roomSpread = 0.15   // how far gain per load moves that bound
 	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
@@ -401,14 +402,16 @@
 	if s, ok := b.pinned[l.Key]; ok && l.MidFlow && b.condition[s] == Ready {
 		return s, false
 	}
-	calm := func(s int) bool {
-		return open(s) && (b.load(s) < comfort || !b.probing.absolute() && b.load(s) <= 1.5*b.mean)
-	}
-	near := func(s int) bool { return calm(s) && b.zones[s] == b.zone }
 	bound := room + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
-	fits := func(s int) bool {
-		return open(s) && (!b.probing.absolute() || b.capacity <= 0 || b.load(s)+l.load/b.capacity < bound)
+	below := func(s int, bound float64) bool {
+		if !b.probing.absolute() || b.capacity <= 0 {
+			return open(s) && b.load(s) <= 1.5*max(b.mean, nearZero)
+		}
+		return open(s) && b.load(s)+l.load/b.capacity < bound
 	}
+	near := func(s int) bool { return b.zones[s] == b.zone && below(s, min(comfort, bound)) }
+	calm := func(s int) bool { return below(s, min(max(calmLoad, b.mean), bound)) }
+	fits := func(s int) bool { return below(s, bound) }
 	if b.localFee {
 		if s := b.turn(l, near); s >= 0 {
 			return s, false
