--- a/internal/adapter/settings.go
+++ b/internal/adapter/settings.go
@@ -136,6 +136,6 @@
 		return nil, p.err
 	}
 	return logic.New(logic.NewRoster(asked, askWithin), logic.NewTurns(chance), warmup, probing, effects, shares,
-		zone, p.optional("fees.cross-zone", 0) > 0, p.values["family-info.groups"] == "true",
+		zone, p.optional("fees.cross-zone", 0), p.values["family-info.groups"] == "true",
 		p.values["family-info.mode"] == "pass"), p.err
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,8 @@
 	silentFor  = 2000.0 // a silence this long may have been a restart
 	retryProbe = 300.0  // how soon a doubted server is asked again
 	reportLag  = 1500.0 // a report may be this old, so links placed since are added to it
-	comfort    = 0.65   // below this a server is not crowded: zones and groups may choose
+	nearLoad   = 0.40   // below this, a server of the own zone comes first where crossing is paid for
+	nearFee    = 2.0    // and by how much more for a fee of one
 	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
 	room       = 0.75   // above this a link of the mean gain per load finds no room
 	roomSpread = 0.15   // how far gain per load moves that bound
@@ -409,10 +410,10 @@
 		}
 		return open(s) && b.load(s)+l.load/b.capacity < bound
 	}
-	near := func(s int) bool { return b.zones[s] == b.zone && below(s, min(comfort, bound)) }
+	near := func(s int) bool { return b.zones[s] == b.zone && below(s, min(nearLoad+nearFee*b.crossing, bound)) }
 	calm := func(s int) bool { return below(s, min(max(calmLoad, b.mean), bound)) }
 	fits := func(s int) bool { return below(s, bound) }
-	if b.localFee {
+	if b.crossing > 0 {
 		if s := b.turn(l, near); s >= 0 {
 			return s, false
 		}
--- a/logic/types.go
+++ b/logic/types.go
@@ -248,7 +248,7 @@
 	shares  *Shares
 
 	zone      int
-	localFee  bool
+	crossing  float64
 	grouped   bool
 	linkLoads []float64 // load of this relay's links, by server
 	links     []int
@@ -259,12 +259,12 @@
 	capacity  float64
 }
 
-// New joins the parts. Zone is the relay's own; crossing says that crossings of zones are paid for; grouped,
+// New joins the parts. Zone is the relay's own; crossing is the fee for crossing zones; grouped,
 // that links of a group share work; passing, that links outlive their relay.
 func New(roster *Roster, turns *Turns, warmup *Warmup, probing *Probing, effects *Effects, shares *Shares,
-	zone int, crossing, grouped, passing bool) *Balancer {
+	zone int, crossing float64, grouped, passing bool) *Balancer {
 	b := &Balancer{Roster: roster, turns: turns, warmup: warmup, probing: probing, effects: effects,
-		shares: shares, zone: zone, localFee: crossing, grouped: grouped}
+		shares: shares, zone: zone, crossing: crossing, grouped: grouped}
 	if passing {
 		b.pinned = map[uint64]int{}
 	}
