--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,6 +37,8 @@
 	room       = 0.75   // above this a link of the mean gain per load finds no room
 	roomSpread = 0.15   // how far gain per load moves that bound
 	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
+	rateMemory = 15000.0
+	keyMemory  = 60000.0
 	holdStep   = 50.0
 	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
 	askPart    = 0.8    // of the time after which silence counts as told
@@ -171,8 +173,6 @@
 	return Answer{Verdict: Reject, Wait: back}
 }
 
-const rateMemory = 15000.0
-
 func (s *Shares) arrive(c int, now float64) {
 	if math.IsNaN(s.last) {
 		s.last = now
@@ -202,6 +202,23 @@
 	return (s.loads[c]*s.weighed[c] + s.loadMean*2) / (s.weighed[c] + 2)
 }
 
+// remember keeps the load of a link that broke, as its client comes again; in two halves, the older dropped
+// whole, so that the memory stays bounded.
+func (s *Shares) remember(now float64, key uint64, load float64) {
+	if s.recent == nil || now > s.turned+keyMemory {
+		s.recent, s.older, s.turned = map[uint64]float64{}, s.recent, now
+	}
+	s.recent[key] = load
+}
+
+func (s *Shares) recall(key uint64) (float64, bool) {
+	load, ok := s.recent[key]
+	if !ok {
+		load, ok = s.older[key]
+	}
+	return load, ok
+}
+
 // worth is the link's gain per load over the mean's, as it arrives.
 func (s *Shares) worth(l *Link) float64 {
 	gain, load := 0.0, 0.0
@@ -364,6 +381,10 @@
 		if l.load = l.Hint; l.load <= 0 {
 			l.load = b.shares.expected(l.Category)
 		}
+		// Against a heavy link that one server shed being taken for a usual one by the next, and so on.
+		if load, ok := b.shares.recall(l.Key); ok {
+			l.load = load
+		}
 	}
 	if !b.effects.again(l, now) {
 		return b.effects.end(l, now, b.effects.maxBack)
@@ -496,6 +517,9 @@
 	s := l.server
 	l.out = false
 	b.unbook(l)
+	if l.open && l.measured && l.Key != 0 && outcome != Satisfied {
+		b.shares.remember(now, l.Key, l.load)
+	}
 	silent := b.health.failed[s] > 0 || now-b.probing.sentAt[s] > silentFor
 	switch {
 	case outcome == Broken && l.open && silent:
--- a/logic/types.go
+++ b/logic/types.go
@@ -227,6 +227,9 @@
 	rate     float64   // arrivals a millisecond at this relay
 	last     float64
 	loadMean float64
+	recent   map[uint64]float64 // loads of links that broke, by key
+	older    map[uint64]float64
+	turned   float64
 }
 
 // NewShares takes categories, parties, what gain beyond a share is worth, and the number of relays.
