Loads rise at once and fall by parts

Cause: neighbour programs and swinging link loads make a single late figure a poor guide for a link that stays for life; a server read idle between two busy spells drew links.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,10 +35,11 @@
 	nearFee    = 2.0    // and by how much more for a fee of one
 	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
 	room       = 0.75   // above this a link of the mean gain per load finds no room
-	roomSpread = 0.25   // how far gain per load moves that bound
+	roomSpread = 0.15   // how far gain per load moves that bound
 	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
 	rateMemory = 15000.0
 	keyMemory  = 60000.0
+	easing     = 0.3 // of the way down that one report moves a load
 	holdStep   = 50.0
 	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
 	askPart    = 0.8    // of the time after which silence counts as told
@@ -618,6 +619,11 @@
 	}
 	p := b.probing
 	if f := p.figure(report, b.weights[s]); !math.IsNaN(f) {
+		// Up at once, down by parts: a link is placed for life, so against a neighbour program that
+		// comes and goes, or loads that swing, the busy moments count.
+		if f < p.load[s] {
+			f = p.load[s] + easing*(f-p.load[s])
+		}
 		p.load[s] = f
 	}
 	p.fresh[s] = 0
