--- /dev/null
+++ b/internal/adapter/adapter_test.go
@@ -0,0 +1,123 @@
+package adapter
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"valeshift/internal/wire"
+)
+
+const profile = `replicas-of-me=1
+zone=0
+categories.count=1
+categories.0.promised-time-ms=300
+categories.0.hard-limit-ms=2000
+categories.0.gain=1
+categories.0.effect=idempotent
+discovery=automatic
+stats.how=none
+contract.cold-from=0.2
+contract.cold-ms=9000
+contract.tip-multiple=3
+limits.probes=false
+limits.retry-after=true
+limits.max-retry-after-ms=900
+limits.most-setup-tries=3
+never.heard.of=1
+`
+
+// batch frames records, given in hex.
+func batch(clock float64, number uint32, records int, body ...string) []byte {
+	raw, err := hex.DecodeString(strings.ReplaceAll(strings.Join(body, ""), " ", ""))
+	if err != nil {
+		panic(err)
+	}
+	b := binary.LittleEndian.AppendUint32(nil, uint32(records))
+	b = binary.LittleEndian.AppendUint32(b, uint32(20+len(raw)))
+	b = binary.LittleEndian.AppendUint64(b, math.Float64bits(clock))
+	return append(binary.LittleEndian.AppendUint32(b, number), raw...)
+}
+
+func hello(text string) string {
+	n := binary.LittleEndian.AppendUint32(nil, uint32(len(text)))
+	return "0b01 0500000000000000" + hex.EncodeToString(n) + hex.EncodeToString([]byte(text))
+}
+
+const (
+	about  = "0701 0300"
+	page   = "0c01 00000000 01000000 00 01 0000 0000000000000000 00 0000803f 09000000"
+	cached = "0301 02 00000000 0100000000000000"
+)
+
+func incoming(id string) string {
+	limit := binary.LittleEndian.AppendUint64(nil, math.Float64bits(3000))
+	return "0001" + id + "00 00000000 0000000000000000" + hex.EncodeToString(limit) +
+		"0000000000000000 0000000000000000 0000"
+}
+
+func TestConversation(t *testing.T) {
+	in := bytes.Join([][]byte{
+		batch(900, 1, 0),
+		batch(1000, 2, 6, about, hello(profile), page, cached, incoming("01000000"), "0201 01000000 0000 09000000 "+
+			"0000000000000000"),
+		// The link stands twice over, an outcome for a link that is over, a timer nobody set, a gone client.
+		batch(1100, 3, 4, about, "0d01 63000000 00 0000 09000000 0000000000000000 04 00", "0401 63000000",
+			"0101 63000000"),
+		batch(1200, 4, 2, about, "0d01 01000000 01 0000 09000000 0000000000000000 0a 00"),
+		// Killed and begun anew in one batch; the old link's outcome says nothing to it.
+		batch(1300, 5, 5, about, "0901", hello(profile), page, cached),
+		batch(1400, 6, 2, about, "0d01 01000000 00 0000 09000000 0000000000000000 04 00"),
+	}, nil)
+	var out bytes.Buffer
+	require.NoError(t, Run(bytes.NewReader(in), &out))
+	empty := func(n int) string { return fmt.Sprintf("0c00000000000000%02x000000", n) }
+	assert.Equal(t, empty(1)+"220000000200000002000000"+"4d010300"+"4001"+"0100000009000000"+
+		"0000000000409f40"+empty(3)+empty(4)+empty(5)+empty(6), hex.EncodeToString(out.Bytes()))
+}
+
+func TestMalformedRecords(t *testing.T) {
+	for _, c := range []struct {
+		name, want string
+		frame      []byte
+	}{
+		{"unknown code", "offset 24: a code of the wire expected, got 999", batch(1, 1, 2, about, "e703")},
+		{"no instance named", "offset 20: an About record expected", batch(1, 1, 1, "0401 01000000")},
+		{"record cut short", "offset 26: 4 bytes of a record expected, 2 are left", batch(1, 1, 2, about, "0401 0100")},
+		{"count past the frame", "offset 32: 65535 bytes of a record expected",
+			batch(1, 1, 2, about, "0a01 01000000 ffff 00")},
+		{"rows past the frame", "elements of 21 bytes expected", batch(1, 1, 1, "0c01 00000000 ffffff7f")},
+		{"bytes left over", "the end of the frame expected, 2 bytes are left", batch(1, 1, 1, about, "0000")},
+		{"page out of range", "a page number under 16", batch(1, 1, 1, "0c01 10000000 00000000")},
+	} {
+		var out bytes.Buffer
+		assert.ErrorContains(t, Run(bytes.NewReader(c.frame), &out), c.want, c.name)
+		assert.Zero(t, out.Len(), "no partial reply: "+c.name)
+	}
+}
+
+func TestSettingsThatAreNeeded(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{"contract.cold-ms=9000\n", "", "contract.cold-ms"},
+		{"effect=idempotent", "effect=perhaps", "categories.0.effect"},
+		{"tries=3", "tries=three", "limits.most-setup-tries"},
+		{"gain=1", "gain=NaN", "categories.0.gain"},
+		{"discovery=automatic", "discovery=subscribe", "contract.ask-within-ms"},
+	} {
+		var out bytes.Buffer
+		text := strings.Replace(profile, c.old, c.new, 1)
+		require.NotEqual(t, profile, text)
+		in := batch(1000, 1, 5, about, hello(text), page, cached, incoming("01000000"))
+		require.NoError(t, Run(bytes.NewReader(in), &out))
+		r := wire.Over(out.Bytes()[12+4:])
+		assert.Equal(t, wire.InternalError, r.U16())
+		assert.Contains(t, string(r.Bytes(int(r.U16()))), c.key)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -4,9 +4,9 @@
 // Callers use it like a client library, one Balancer a relay, never shared. Three calls answer: Place (where
 // to send this link, or not yet, or never), After (what to do after this outcome) and Next (how long to wait,
 // and the probe or subscription due; asked until it names none). What is seen comes in by ListBegan, Listed,
-// ListEnded, ListFailed, Probed, Accepted, Noted, Resumed and Vanished, which answer nothing. Plain types are
-// in types.go; the interface is the exported methods of Balancer; New takes each part with its own settings.
-// Times are milliseconds on the caller's clock.
+// ListEnded, ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished. Plain types and their
+// bookkeeping are in types.go; the interface is the exported methods of Balancer. New takes each part with its
+// own settings. Times are milliseconds on the caller's clock.
 package logic
 
 import (
@@ -87,15 +87,6 @@
 	return -1
 }
 
-// due tells when to subscribe next. Against a subscription that died without a word: its silence is
-// counted, and well inside the time after which this relay counts as told of all that it missed.
-func (r *Roster) due() float64 {
-	if !r.asked {
-		return math.Inf(1)
-	}
-	return r.askAt
-}
-
 // good wants two failures before a server is out: one lost probe or one stall is not a death.
 func (h *Health) good(s int) bool { return h.failed[s] < 2 }
 
@@ -148,11 +139,6 @@
 // standIns are the report fields a load can be read from, the best first.
 var standIns = [...]string{"x0", "cpu", "active", "rps", "waiting", "x1", "avg_ms"}
 
-// absolute tells whether loads are parts of a capacity, so that bounds on them mean something.
-func (p *Probing) absolute() bool {
-	return slices.Contains(p.fields, "x0") || slices.Contains(p.fields, "cpu")
-}
-
 // again tells whether another setup try is allowed at all now.
 func (e *Effects) again(l *Link, now float64) bool {
 	c := &e.categories[l.Category]
@@ -203,23 +189,6 @@
 	return (s.loads[c]*s.weighed[c] + s.loadMean*2) / (s.weighed[c] + 2)
 }
 
-// remember keeps the load of a link that broke, as its client comes again; in two halves, the older dropped
-// whole, so that the memory stays bounded.
-func (s *Shares) remember(now float64, key uint64, load float64) {
-	if s.recent == nil || now > s.turned+keyMemory {
-		s.recent, s.older, s.turned = map[uint64]float64{}, s.recent, now
-	}
-	s.recent[key] = load
-}
-
-func (s *Shares) recall(key uint64) (float64, bool) {
-	load, ok := s.recent[key]
-	if !ok {
-		load, ok = s.older[key]
-	}
-	return load, ok
-}
-
 // worth is the link's gain per load over the mean's, as it arrives.
 func (s *Shares) worth(l *Link) float64 {
 	gain, load := 0.0, 0.0
@@ -267,20 +236,17 @@
 		b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
 		b.health.failed[s] = 0
 	}
-	if b.condition[s] != cond {
-		b.turns.stale, b.turns.built = true, math.Inf(-1)
-	}
 	b.condition[s], b.zones[s], b.cells[s], b.weights[s], b.mentioned[s] = cond, zone, cell, weight, true
 }
 
 // ListEnded closes the news. What whole news left out is gone.
 func (b *Balancer) ListEnded(now float64) {
 	for s := range b.mentioned {
-		if b.whole && !b.mentioned[s] && b.condition[s] != Gone {
+		if b.whole && !b.mentioned[s] {
 			b.condition[s] = Gone
-			b.turns.stale, b.turns.built = true, math.Inf(-1)
 		}
 	}
+	b.turns.stale, b.turns.built = true, math.Inf(-1)
 	if b.heard { // the cached list at the start is no answer
 		b.askAt, b.failures = now+b.askWithin*askPart, 0
 	}
@@ -293,42 +259,15 @@
 	b.askAt = now + float64(int(100)<<b.failures)*(0.5+b.turns.chance.Float64())
 }
 
-// add finds an index: that of a server gone with nothing left on it, or a new one.
-func (b *Balancer) add(id uint32) int {
-	s := slices.IndexFunc(b.ids, func(old uint32) bool {
-		i := b.index[old]
-		return b.condition[i] == Gone && b.links[i] == 0
-	})
-	nan, never := math.NaN(), math.Inf(-1)
-	if s < 0 {
-		s = len(b.ids)
-		b.ids, b.condition, b.zones = append(b.ids, 0), append(b.condition, Gone), append(b.zones, 0)
-		b.cells, b.started, b.mentioned = append(b.cells, 0), append(b.started, 0), append(b.mentioned, false)
-		h, w, p := &b.health, b.warmup, b.probing
-		h.failed, h.lost = append(h.failed, 0), append(h.lost, false)
-		w.since, w.tokens, w.asOf = append(w.since, never), append(w.tokens, 0), append(w.asOf, 0)
-		p.load, p.sentAt, p.askedAt = append(p.load, nan), append(p.sentAt, nan), append(p.askedAt, never)
-		p.since, p.fresh = append(p.since, nil), append(p.fresh, 0)
-		b.linkLoads, b.links = append(b.linkLoads, 0), append(b.links, 0)
-		b.weights, b.turns.counts = append(b.weights, 1), append(b.turns.counts, 0)
-	}
-	delete(b.index, b.ids[s])
-	b.index[id], b.ids[s] = s, id
-	b.health.failed[s], b.health.lost[s] = 0, false
-	b.warmup.since[s] = never
-	b.probing.load[s], b.probing.sentAt[s], b.probing.askedAt[s] = nan, nan, never
-	b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
-	return s
-}
-
 // refresh rebuilds the table from the figures, when there is news and not sooner than reports can tell any.
 func (b *Balancer) refresh(now float64) {
 	if !b.turns.stale || now < b.turns.built+rebuildTime {
 		return
 	}
-	sum, known := 0.0, 0.0
+	sum, known, own := 0.0, 0.0, 0.0
 	b.ready = 0
 	for s, c := range b.condition {
+		own += b.linkLoads[s]
 		if c == Ready && b.health.good(s) {
 			b.ready++
 			if !math.IsNaN(b.probing.load[s]) {
@@ -336,14 +275,7 @@
 			}
 		}
 	}
-	b.mean = 0
-	if known > 0 {
-		b.mean = sum / known
-	}
-	own := 0.0
-	for _, l := range b.linkLoads {
-		own += l
-	}
+	b.mean = sum / max(known, 1)
 	if sum > nearZero*known {
 		// The most seen: a relay just restarted holds less than its part of the links.
 		b.capacity = max(b.capacity, own*b.shares.relays/sum*known/b.ready)
@@ -379,13 +311,7 @@
 	if !l.known {
 		l.known, l.came, l.ran, l.server = true, now, -1, -1
 		b.shares.arrive(l.Category, now)
-		if l.load = l.Hint; l.load <= 0 {
-			l.load = b.shares.expected(l.Category)
-		}
-		// Against a heavy link that one server shed being taken for a usual one by the next, and so on.
-		if load, ok := b.shares.recall(l.Key); ok {
-			l.load = load
-		}
+		b.guess(l)
 	}
 	if !b.effects.again(l, now) {
 		return b.effects.end(l, now, b.effects.maxBack)
@@ -413,6 +339,19 @@
 	return Answer{Verdict: Send, Backend: b.ids[s], Timeout: timeout, Round: l.tries - 1}
 }
 
+// guess is a link's load until a note tells: what its key weighed last, the client's hint, or its category's.
+// The first is against a heavy link that one server shed being taken for a usual one by the next, and so on.
+func (b *Balancer) guess(l *Link) {
+	if past, ok := b.shares.ended.find(l.Key); ok {
+		l.load = past.load
+	} else if l.load = l.Hint; l.load > 0 {
+		b.shares.weigh(l.Category, l.load)
+		l.measured = true
+	} else {
+		l.load = b.shares.expected(l.Category)
+	}
+}
+
 // choose walks the turns over the servers that count as ready for this link; crowded tells that some are
 // there, but have no room for it.
 func (b *Balancer) choose(l *Link, now float64) (int, bool) {
@@ -422,47 +361,54 @@
 		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
 			b.warmup.ready(s, now, linkRate, l.load/b.shares.loadMean)
 	}
-	if s, ok := b.pinned[l.Key]; ok && l.MidFlow && b.condition[s] == Ready {
-		return s, false
+	if past, ok := b.shares.ended.find(l.Key); ok && l.MidFlow && b.condition[past.server] == Ready {
+		return past.server, false // a link that flows goes on only where it was
 	}
 	bound := room + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
+	weight := 0.0
+	if b.capacity > 0 {
+		weight = l.load / b.capacity
+	}
 	below := func(s int, bound float64) bool {
-		if !b.probing.absolute() || b.capacity <= 0 {
+		if !b.probing.absolute {
 			return open(s) && b.load(s) <= 1.5*max(b.mean, nearZero)
 		}
-		return open(s) && b.load(s)+l.load/b.capacity < bound
+		return open(s) && b.load(s)+weight < bound
 	}
 	near := func(s int) bool { return b.zones[s] == b.zone && below(s, min(nearLoad+nearFee*b.crossing, bound)) }
 	calm := func(s int) bool { return below(s, min(max(calmLoad, b.mean), bound)) }
 	fits := func(s int) bool { return below(s, bound) }
-	if b.crossing > 0 {
-		if s := b.turn(l, near); s >= 0 {
+	for i, may := range [...]func(int) bool{near, calm, fits, fits} {
+		if i == 0 && b.crossing <= 0 {
+			continue
+		}
+		if i == 3 {
+			avoid = -1
+		}
+		if s := b.turn(l, may); s >= 0 {
 			return s, false
 		}
 	}
-	if s := b.turn(l, calm); s >= 0 {
-		return s, false
-	}
-	if s := b.turn(l, fits); s >= 0 {
-		return s, false
-	}
-	avoid = -1
-	if s := b.turn(l, fits); s >= 0 {
-		return s, false
-	}
 	return -1, b.turns.next(open) >= 0
 }
 
 // turn takes the next bucket that may have the link. A link of a group takes the bucket that its group draws:
 // each server still has chances by its buckets, but all relays draw alike, so the shared work is paid once.
+// So does a link that may reach another relay mid-flow, which then finds its server.
 func (b *Balancer) turn(l *Link, may func(int) bool) int {
-	if !b.grouped || l.Group == 0 {
+	mark := uint64(0)
+	if b.grouped {
+		mark = l.Group
+	} else if b.passing {
+		mark = l.Key
+	}
+	if mark == 0 {
 		return b.turns.next(may)
 	}
 	best, least := -1, math.Inf(1)
 	for s, n := range b.turns.counts {
 		if n > 0 && may(s) {
-			if d := draw(l.Group, b.ids[s]) / float64(n); d < least {
+			if d := draw(mark, b.ids[s]) / float64(n); d < least {
 				best, least = s, d
 			}
 		}
@@ -470,9 +416,9 @@
 	return best
 }
 
-// draw is an exponential chance that depends on nothing but the group and the server.
-func draw(group uint64, id uint32) float64 {
-	x := group ^ uint64(id)*0x9e3779b97f4a7c15
+// draw is an exponential chance that depends on nothing but the mark and the server.
+func draw(mark uint64, id uint32) float64 {
+	x := mark ^ uint64(id)*0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return -math.Log((float64((x^x>>31)>>11) + 0.5) / (1 << 53))
@@ -490,25 +436,6 @@
 	return b.cells[s] == l.ranCell
 }
 
-func (b *Balancer) book(l *Link, s int) {
-	b.links[s]++
-	b.linkLoads[s] += l.load
-	if l.Party < len(b.shares.held) {
-		b.shares.held[l.Party]++
-	}
-	if b.pinned != nil && l.Key != 0 {
-		b.pinned[l.Key] = s
-	}
-}
-
-func (b *Balancer) unbook(l *Link) {
-	b.links[l.server]--
-	b.linkLoads[l.server] -= l.load
-	if l.Party < len(b.shares.held) {
-		b.shares.held[l.Party]--
-	}
-}
-
 // After says what to do after the outcome of a setup try, or of the link that it set up. Last tells that the
 // link is over with it.
 func (b *Balancer) After(now float64, l *Link, outcome Outcome, last bool) Answer {
@@ -519,7 +446,7 @@
 	l.out = false
 	b.unbook(l)
 	if l.open && l.measured && l.Key != 0 && outcome != Satisfied {
-		b.shares.remember(now, l.Key, l.load)
+		b.shares.ended.keep(now, keyMemory, l.Key, left{l.load, s})
 	}
 	silent := b.health.failed[s] > 0 || now-b.probing.sentAt[s] > silentFor
 	switch {
@@ -564,9 +491,7 @@
 	if !ok {
 		s = b.add(id)
 	}
-	if l.load = l.Hint; l.load <= 0 {
-		l.load = b.shares.expected(l.Category)
-	}
+	b.guess(l)
 	l.known, l.came, l.ran, l.server, l.tries, l.out, l.open = true, now, s, s, 1, true, true
 	b.book(l, s)
 }
@@ -584,15 +509,6 @@
 	l.load = load
 }
 
-// Vanished takes that the client has left, and tells whether an outcome is still to come.
-func (b *Balancer) Vanished(l *Link) bool {
-	l.gone = true
-	return l.out
-}
-
-// Knows tells whether the settings name the category.
-func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
-
 // Probed takes the answer to a probe.
 func (b *Balancer) Probed(now float64, id uint32, ok bool, report []float64) {
 	s, known := b.index[id]
@@ -646,8 +562,13 @@
 
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
 func (b *Balancer) Next(now float64) Due {
-	d := Due{Wait: b.due() - now}
+	d := Due{Wait: math.Inf(1)}
+	if b.asked {
+		d.Wait = b.askAt - now
+	}
 	if d.Wait <= 0 {
+		// Against a subscription that died without a word: its silence is counted, well inside the time after
+		// which this relay counts as told of all that it missed.
 		b.askAt = now + b.askWithin*askPart
 		return Due{Subscribe: true}
 	}
@@ -664,8 +585,8 @@
 			b.probing.askedAt[s] = now - b.turns.chance.Float64()*every
 		}
 		wait := b.probing.askedAt[s] + every - now
-		if f := b.health.failed[s]; f > 0 {
-			wait = b.probing.askedAt[s] + retryProbe - now
+		if b.health.failed[s] > 0 {
+			wait -= every - retryProbe
 		}
 		if wait <= 0 {
 			b.probing.askedAt[s], b.probing.sentAt[s] = now, now
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,350 @@
+package logic
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestBuckets(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		load, mean float64
+		want       int
+	}{
+		{"at the mean", 0.5, 0.5, 10},
+		{"idle draws twice the mean", 0, 0.5, 20},
+		{"twice the mean", 1, 0.5, 7},
+		{"far above the mean is held at the fewest", 50, 0.5, 2},
+		{"a mean near zero tells nothing", 0.02, 0.001, 10},
+	} {
+		assert.Equal(t, c.want, buckets(c.load, c.mean), c.name)
+	}
+}
+
+func TestTableSpreadsAndStartsAtRandom(t *testing.T) {
+	starts := map[int]bool{}
+	for seed := range int64(20) {
+		b := fleet{Loads: []float64{0.1, 0.3, 0.3}, Seed: seed}.build(t)
+		b.refresh(start)
+		starts[b.turns.at] = true
+		seen := map[int]int{}
+		run, longest := 0, 0
+		for i, k := range b.turns.table {
+			seen[k.server]++
+			if run++; i > 0 && b.turns.table[i-1].server != k.server {
+				run = 1
+			}
+			longest = max(longest, run)
+		}
+		for s, n := range b.turns.counts {
+			assert.Equal(t, n, seen[s])
+		}
+		assert.LessOrEqual(t, longest, 2, "one server's buckets stand apart")
+	}
+	assert.Greater(t, len(starts), 5)
+}
+
+func TestReportsThatLie(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		report []float64
+		want   float64
+	}{
+		{"good", []float64{1, 0.9}, 0.9},
+		{"not a number", []float64{1, math.NaN()}, 0.5},
+		{"endless", []float64{1, math.Inf(1)}, 0.5},
+		{"negative", []float64{1, -3}, 0.5},
+		{"absent", nil, 0.5},
+	} {
+		b := fleet{Loads: []float64{0.5}}.build(t)
+		b.Reported(start+10, 1, c.report)
+		b.Reported(start+10, 77, c.report)
+		if c.name == "good" || c.report == nil {
+			assert.Equal(t, c.want, b.probing.load[0], c.name)
+		} else {
+			assert.False(t, math.IsNaN(b.probing.load[0]) || math.IsInf(b.probing.load[0], 0) ||
+				b.probing.load[0] < 0, c.name)
+		}
+	}
+}
+
+func TestStandIns(t *testing.T) {
+	for _, c := range []struct {
+		fields []string
+		report []float64
+		weight float64
+		want   float64
+	}{
+		{[]string{"rps", "cpu", "x0"}, []float64{9, 0.4, 0.7}, 2, 0.7},
+		{[]string{"rps", "cpu"}, []float64{9, 0.4}, 2, 0.4},
+		{[]string{"rps", "active"}, []float64{9, 4}, 2, 2},
+		{[]string{"unheard_of"}, []float64{9}, 2, math.NaN()},
+	} {
+		got := NewProbing(true, 0, c.fields).figure(c.report, c.weight)
+		assert.Equal(t, math.IsNaN(c.want), math.IsNaN(got), c.fields)
+		if !math.IsNaN(c.want) {
+			assert.Equal(t, c.want, got, c.fields)
+		}
+	}
+}
+
+// Each effect after each kind of outcome: another try, a rejection or an error.
+func TestEffects(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		effect  Effect
+		scope   Scope
+		outcome Outcome
+		after   float64
+		tries   int
+		want    Verdict
+	}{
+		{"replayable runs again", Replayable, ScopeAll, TimedOut, 100, 1, Send},
+		{"replayable out of tries", Replayable, ScopeAll, Errored, 100, 3, Reject},
+		{"single-use may have run", SingleUse, ScopeAll, TimedOut, 100, 1, Fail},
+		{"single-use broke", SingleUse, ScopeAll, Broken, 100, 1, Fail},
+		{"single-use never ran", SingleUse, ScopeAll, TurnedAway, 100, 1, Send},
+		{"single-use never ran, out of tries", SingleUse, ScopeAll, Unreachable, 100, 3, Reject},
+		{"referenced inside its window", Referenced, ScopeAll, TimedOut, 100, 1, Send},
+		{"referenced past its window", Referenced, ScopeAll, TimedOut, 900, 1, Fail},
+		{"referenced out of tries inside its window", Referenced, ScopeAll, Errored, 100, 3, Reject},
+		{"referenced out of tries, group not all", Referenced, ScopeZone, Errored, 100, 3, Fail},
+		{"past the hard limit", Replayable, ScopeAll, TimedOut, 2000, 1, Reject},
+	} {
+		b := fleet{Effect: c.effect, Scope: c.scope, Window: 800, MaxBack: 200,
+			Loads: []float64{0.3, 0.3, 0.3, 0.3}}.build(t)
+		l := arrive(start)
+		require.Equal(t, Send, b.Place(start, l).Verdict, c.name)
+		l.tries = c.tries
+		assert.Equal(t, c.want, b.After(start+c.after, l, c.outcome, false).Verdict, c.name)
+	}
+}
+
+func TestReferencedStaysInItsGroup(t *testing.T) {
+	for _, scope := range []Scope{ScopeZone, ScopeCell} {
+		for seed := range int64(10) {
+			b := fleet{Effect: Referenced, Scope: scope, Window: 800, Seed: seed,
+				Loads: []float64{0.3, 0.3, 0.3, 0.3}}.build(t)
+			l := arrive(start)
+			first := b.Place(start, l)
+			second := b.After(start+100, l, TimedOut, false)
+			require.Equal(t, Send, second.Verdict)
+			assert.Equal(t, first.Backend%2, second.Backend%2)
+		}
+	}
+}
+
+// A last outcome, a second outcome and an outcome of a standing link ask for nothing.
+func TestNothingAfterTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		open, last bool
+	}{{"last", false, true}, {"stood", true, false}, {"stood and last", true, true}} {
+		b := fleet{Loads: []float64{0.3, 0.3}}.build(t)
+		l := arrive(start)
+		b.Place(start, l)
+		if c.open {
+			b.Accepted(start+20, l)
+		}
+		assert.Equal(t, Over, b.After(start+50, l, Broken, c.last).Verdict, c.name)
+		assert.Equal(t, Over, b.After(start+60, l, Broken, false).Verdict, c.name)
+		assert.Zero(t, b.links[0]+b.links[1], c.name)
+	}
+}
+
+func TestNoUsableServer(t *testing.T) {
+	b := fleet{MaxBack: 700}.build(t)
+	l := arrive(start)
+	assert.Equal(t, Hold, b.Place(start, l).Verdict)
+	assert.Equal(t, Answer{Verdict: Reject, Wait: 700}, b.Place(start+301, l))
+}
+
+// Against a server that drains, is gone, or was left out of the whole list.
+func TestDrains(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		tell func(b *Balancer)
+	}{
+		{"draining", func(b *Balancer) { b.ListBegan(start, false); b.Listed(start, 1, 0, Draining, 0, 0, 1) }},
+		{"gone", func(b *Balancer) { b.ListBegan(start, false); b.Listed(start, 1, 0, Gone, 0, 0, 1) }},
+		{"left out", func(b *Balancer) { b.ListBegan(start, true); b.Listed(start, 2, 1, Ready, 1, 0, 1) }},
+		{"never listed", func(b *Balancer) {
+			b.ListBegan(start, false)
+			b.Listed(start, 9, 0, Gone, 0, 0, 1)
+			b.Listed(start, 1, 0, Gone, 0, 0, 1)
+		}},
+	} {
+		b := fleet{Loads: []float64{0.1, 0.4}}.build(t)
+		b.refresh(start)
+		c.tell(b)
+		b.ListEnded(start)
+		for range 30 {
+			a := b.Place(start, arrive(start))
+			assert.NotEqual(t, uint32(1), a.Backend, c.name)
+		}
+	}
+}
+
+// Against all relays' even shares on an idle, cold server: each relay alone keeps its part of the budget.
+func TestWarmupBudget(t *testing.T) {
+	for _, relays := range []int{1, 4} {
+		b := fleet{Loads: []float64{0.4, 0.4, 0.4, 0}, Cold: start, Relays: relays}.build(t)
+		sent, all := 0.0, 0.0
+		for now := start; now < start+5000; now += 100 {
+			if a := b.Place(now, arrive(now)); a.Verdict == Send {
+				all++
+				if a.Backend == 4 {
+					sent++
+				}
+			}
+		}
+		// Capacity, as links a span: what a warm server takes over its load.
+		capacity := all * float64(relays) / 4 / 0.3
+		assert.LessOrEqual(t, sent*float64(relays), 3*0.36*capacity+float64(relays), relays)
+	}
+}
+
+func TestRestartIsCold(t *testing.T) {
+	b := fleet{Loads: []float64{0.4, 0.4}}.build(t)
+	b.ListBegan(start+10, false)
+	b.Listed(start+10, 1, 0, Ready, 0, start+5, 1)
+	b.ListEnded(start + 10)
+	assert.True(t, math.IsNaN(b.probing.load[0]))
+	assert.Less(t, b.warmup.part(0, start+10), 0.21)
+}
+
+// Two failures put a server out, one does not, and an answer brings it back.
+func TestHealth(t *testing.T) {
+	b := fleet{Loads: []float64{0.4, 0.4}}.build(t)
+	b.Probed(start, 1, false, nil)
+	assert.True(t, b.health.good(0), "one lost probe is not a death")
+	b.Probed(start+300, 1, false, nil)
+	for range 20 {
+		assert.Equal(t, uint32(2), b.Place(start+400, arrive(start+400)).Backend)
+	}
+	b.Probed(start+600, 1, true, []float64{0, 0.4})
+	assert.True(t, b.health.good(0))
+}
+
+// Against a slow shared store: set-ups that time out everywhere condemn no server.
+func TestSlowSetupsCondemnNobody(t *testing.T) {
+	b := fleet{Loads: []float64{0.4, 0.4, 0.4}}.build(t)
+	for i := range 20 {
+		now := start + float64(i)*100
+		l := arrive(now)
+		b.Place(now, l)
+		b.After(now+50, l, TimedOut, true)
+	}
+	for s := range b.ids {
+		assert.True(t, b.health.good(s))
+	}
+}
+
+// Against one server's shed link tipping the next, and against sending on to the server that shed it.
+func TestShedLinksAreRemembered(t *testing.T) {
+	b := fleet{Loads: []float64{0.3, 0.3}, Relays: 1}.build(t)
+	l := &Link{Key: 7, Limit: start + 2000}
+	b.Place(start, l)
+	b.Accepted(start, l)
+	b.Weighed(start, l, 90000)
+	b.Weighed(start, l, math.NaN())
+	s := l.server
+	b.After(start+100, l, Broken, true)
+	assert.GreaterOrEqual(t, b.load(s), 1.0)
+	again := &Link{Key: 7, Limit: start + 3000}
+	b.Place(start+1000, again)
+	assert.Equal(t, 90000.0, again.load)
+}
+
+// A fleet without room: the link that gains more for its load still finds room, the other is sent back at once.
+func TestRoomGoesToTheGainPerLoad(t *testing.T) {
+	b := fleet{Loads: []float64{0.7, 0.7, 0.7}, MaxBack: 900}.build(t)
+	for i := range 30 {
+		l := arrive(start - 5000)
+		l.Category = i % 2
+		b.Resumed(start, l, uint32(i%3+1))
+		b.Weighed(start, l, 100)
+		b.shares.arrive(i%2, start)
+	}
+	poor, rich := arrive(start), arrive(start)
+	rich.Category, rich.Party = 1, 1
+	assert.Equal(t, Answer{Verdict: Reject, Wait: 900}, b.Place(start, poor))
+	assert.Equal(t, Send, b.Place(start, rich).Verdict)
+	beyond := arrive(start)
+	beyond.Category = 1
+	assert.Equal(t, Reject, b.Place(start, beyond).Verdict, "its party holds more than its share")
+}
+
+// All relays draw a group alike, whatever their chance; where crossing costs, the own zone comes first.
+func TestGroupsAndZones(t *testing.T) {
+	at := map[uint32]bool{}
+	for seed := range int64(10) {
+		b := fleet{Loads: []float64{0.2, 0.2, 0.2, 0.2}, Grouped: true, Crossed: 0.05, Seed: seed}.build(t)
+		l := arrive(start)
+		l.Group = 42
+		a := b.Place(start, l)
+		at[a.Backend] = true
+		assert.Equal(t, uint32(1), a.Backend%2, "servers of zone 0 have odd ids")
+	}
+	assert.Len(t, at, 1)
+}
+
+// A busier server sits turns out only when it is crowded.
+func TestCrowdedServersSitOut(t *testing.T) {
+	for _, c := range []struct {
+		loads []float64
+		sits  bool
+	}{{[]float64{0.30, 0.10, 0.10}, false}, {[]float64{0.65, 0.40, 0.40}, true}} {
+		b := fleet{Loads: c.loads}.build(t)
+		drawn := false
+		for range 60 {
+			l := arrive(start)
+			drawn = drawn || b.Place(start, l).Backend == 1
+		}
+		assert.Equal(t, c.sits, !drawn, c.loads)
+	}
+}
+
+func TestSubscription(t *testing.T) {
+	b := fleet{Asked: true, Loads: []float64{0.3}}.build(t)
+	assert.True(t, b.Next(start).Subscribe, "the cached list is no subscription")
+	assert.False(t, b.Next(start).Subscribe)
+	b.ListFailed(start + 50)
+	assert.True(t, b.Next(start+350).Subscribe, "a failed call is made again soon")
+	b.ListBegan(start+400, false)
+	b.ListEnded(start + 400)
+	assert.False(t, b.Next(start+5000).Subscribe)
+	assert.True(t, b.Next(start+10000).Subscribe, "silence is counted")
+}
+
+func TestProbesKeepToTheBound(t *testing.T) {
+	b := fleet{Loads: []float64{0.3, 0.3}}.build(t)
+	last := map[uint32]float64{}
+	for now := start; now < start+20000; now += 50 {
+		for d := b.Next(now); d.Probing; d = b.Next(now) {
+			if before, ok := last[d.Probe]; ok {
+				assert.LessOrEqual(t, now-before, 5000.0)
+			}
+			last[d.Probe] = now
+			b.Probed(now, d.Probe, true, []float64{0, 0.3})
+		}
+	}
+	assert.Len(t, last, 2)
+}
+
+func TestSameSeedSameTurns(t *testing.T) {
+	walk := func(seed int64) (ids []uint32) {
+		b := fleet{Loads: []float64{0.2, 0.3, 0.4, 0.5}, Seed: seed}.build(t)
+		for i := range 40 {
+			now := start + float64(i)*300
+			ids = append(ids, b.Place(now, arrive(now)).Backend)
+			b.Reported(now, uint32(i%4+1), []float64{0, 0.3})
+		}
+		return ids
+	}
+	assert.Equal(t, walk(5), walk(5))
+	assert.NotEqual(t, walk(5), walk(6))
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -3,12 +3,13 @@
 import (
 	"math"
 	"math/rand"
+	"slices"
 )
 
 // Effect says what a second run of a link would do.
 type Effect uint8
 
-// Replayable may run again; referenced carries a mark by which a repeat is known; single-use never runs twice.
+// Replayable may run again; referenced has a mark by which a repeat is known; single-use never runs twice.
 const (
 	Replayable Effect = iota
 	Referenced
@@ -186,7 +187,9 @@
 	allowed bool
 	fee     float64
 	fields  []string
-	fresh   []float64
+	// absolute loads are parts of a capacity, so that bounds on them mean something.
+	absolute bool
+	fresh    []float64
 
 	load    []float64 // NaN: no figure
 	sentAt  []float64 // of the probe that is out, or NaN
@@ -196,7 +199,8 @@
 
 // NewProbing takes whether probes may be sent, the fee for one a link, and the names of the report's fields.
 func NewProbing(allowed bool, fee float64, fields []string) *Probing {
-	return &Probing{allowed: allowed, fee: fee, fields: fields}
+	return &Probing{allowed: allowed, fee: fee, fields: fields,
+		absolute: slices.Contains(fields, "x0") || slices.Contains(fields, "cpu")}
 }
 
 type placed struct{ at, load float64 }
@@ -227,9 +231,7 @@
 	rate     float64   // arrivals a millisecond at this relay
 	last     float64
 	loadMean float64
-	recent   map[uint64]float64 // loads of links that broke, by key
-	older    map[uint64]float64
-	turned   float64
+	ended    memory
 }
 
 // NewShares takes categories, parties, what gain beyond a share is worth, and the number of relays.
@@ -253,10 +255,10 @@
 	zone      int
 	crossing  float64
 	grouped   bool
+	passing   bool
 	linkLoads []float64 // load of this relay's links, by server
 	links     []int
 	weights   []float64
-	pinned    map[uint64]int // by key, the server of a link, for packets that come back mid-flow
 	mean      float64
 	ready     float64
 	capacity  float64
@@ -266,10 +268,86 @@
 // that links of a group share work; passing, that links outlive their relay.
 func New(roster *Roster, turns *Turns, warmup *Warmup, probing *Probing, effects *Effects, shares *Shares,
 	zone int, crossing float64, grouped, passing bool) *Balancer {
-	b := &Balancer{Roster: roster, turns: turns, warmup: warmup, probing: probing, effects: effects,
-		shares: shares, zone: zone, crossing: crossing, grouped: grouped}
-	if passing {
-		b.pinned = map[uint64]int{}
+	return &Balancer{Roster: roster, turns: turns, warmup: warmup, probing: probing, effects: effects,
+		shares: shares, zone: zone, crossing: crossing, grouped: grouped, passing: passing}
+}
+
+// add finds an index: that of a server gone with nothing left on it, or a new one.
+func (b *Balancer) add(id uint32) int {
+	s := slices.IndexFunc(b.ids, func(old uint32) bool {
+		i := b.index[old]
+		return b.condition[i] == Gone && b.links[i] == 0
+	})
+	nan, never := math.NaN(), math.Inf(-1)
+	if s < 0 {
+		s = len(b.ids)
+		b.ids, b.condition, b.zones = append(b.ids, 0), append(b.condition, Gone), append(b.zones, 0)
+		b.cells, b.started, b.mentioned = append(b.cells, 0), append(b.started, 0), append(b.mentioned, false)
+		h, w, p := &b.health, b.warmup, b.probing
+		h.failed, h.lost = append(h.failed, 0), append(h.lost, false)
+		w.since, w.tokens, w.asOf = append(w.since, never), append(w.tokens, 0), append(w.asOf, 0)
+		p.load, p.sentAt, p.askedAt = append(p.load, nan), append(p.sentAt, nan), append(p.askedAt, never)
+		p.since, p.fresh = append(p.since, nil), append(p.fresh, 0)
+		b.linkLoads, b.links = append(b.linkLoads, 0), append(b.links, 0)
+		b.weights, b.turns.counts = append(b.weights, 1), append(b.turns.counts, 0)
+	}
+	delete(b.index, b.ids[s])
+	b.index[id], b.ids[s] = s, id
+	b.health.failed[s], b.health.lost[s] = 0, false
+	b.warmup.since[s] = never
+	b.probing.load[s], b.probing.sentAt[s], b.probing.askedAt[s] = nan, nan, never
+	b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
+	return s
+}
+
+func (b *Balancer) book(l *Link, s int) {
+	b.links[s]++
+	b.linkLoads[s] += l.load
+	if l.Party < len(b.shares.held) {
+		b.shares.held[l.Party]++
+	}
+}
+
+func (b *Balancer) unbook(l *Link) {
+	b.links[l.server]--
+	b.linkLoads[l.server] -= l.load
+	if l.Party < len(b.shares.held) {
+		b.shares.held[l.Party]--
+	}
+}
+
+// memory keeps what a link that ended left behind, by key, as its client comes again. It has two halves, the
+// older dropped whole, so that it stays bounded.
+type memory struct {
+	recent, older map[uint64]left
+	turned        float64
+}
+
+type left struct {
+	load   float64
+	server int
+}
+
+func (m *memory) keep(now, span float64, key uint64, l left) {
+	if m.recent == nil || now > m.turned+span {
+		m.recent, m.older, m.turned = map[uint64]left{}, m.recent, now
 	}
-	return b
+	m.recent[key] = l
+}
+
+func (m *memory) find(key uint64) (left, bool) {
+	l, ok := m.recent[key]
+	if !ok {
+		l, ok = m.older[key]
+	}
+	return l, ok
+}
+
+// Knows tells whether the settings name the category.
+func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
+
+// Vanished takes that the client has left, and tells whether an outcome is still to come.
+func (b *Balancer) Vanished(l *Link) bool {
+	l.gone = true
+	return l.out
 }
