--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,10 @@
 	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
 	rateMemory = 15000.0
 	keyMemory  = 60000.0
-	easing     = 0.3 // of the way down that one report moves a load
+	tryMemory  = 10000.0
+	fewTries   = 10.0 // that may fail before anything is read from it
+	perStood   = 2.0  // tries for each link that stands, beyond which most set-ups fail
+	easing     = 0.3  // of the way down that one report moves a load
 	holdStep   = 50.0
 	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
 	askPart    = 0.8    // of the time after which silence counts as told
@@ -148,6 +151,18 @@
 	return l.ran < 0 || c.Effect == Replayable || (c.Effect == Referenced && now < l.ranAt+c.RepeatWindow)
 }
 
+// count takes how a setup try went, over a fading memory.
+func (e *Effects) count(now, stood float64) {
+	fade := math.Exp((e.asOf - now) / tryMemory)
+	e.tried, e.stood, e.asOf = e.tried*fade+1, e.stood*fade+stood, now
+}
+
+// failing is the part of the links not to try at all. Against a storm: when a store that all set-ups need is
+// overrun, further tries and the clients' own repeats keep it so long after what slowed it has passed.
+func (e *Effects) failing() float64 {
+	return max(0, (e.tried-perStood*e.stood-fewTries)/(e.tried+1))
+}
+
 // end gives the link up, at once. Against telling a client to repeat what may have run: then it is an error.
 func (e *Effects) end(l *Link, now, back float64) Answer {
 	c := &e.categories[l.Category]
@@ -160,17 +175,15 @@
 	return Answer{Verdict: Reject, Wait: back}
 }
 
-func (s *Shares) arrive(c int, now float64) {
-	if math.IsNaN(s.last) {
-		s.last = now
+// stand counts links that stand. Arrivals would not do: clients that come again and again would make servers
+// look able to take more.
+func (s *Shares) stand(now float64) {
+	if s.last == 0 {
+		s.last = now - probeEvery
 	}
 	fade := math.Exp((s.last - now) / rateMemory)
-	s.rate = s.rate*fade + 1/rateMemory
-	for i := range s.arrived {
-		s.arrived[i] *= fade
-	}
-	s.arrived[c]++
-	s.last = now
+	s.stood, s.over, s.last = s.stood*fade+1, s.over*fade+now-s.last, now
+	s.rate = s.stood / s.over
 }
 
 // weigh learns what links of a category weigh.
@@ -192,11 +205,8 @@
 // worth is the link's gain per load over the mean's, as it arrives.
 func (s *Shares) worth(l *Link) float64 {
 	gain, load := 0.0, 0.0
-	for i, n := range s.arrived {
-		gain, load = gain+n*s.categories[i].Gain, load+n*s.expected(i)
-	}
-	if gain <= 0 || load <= 0 {
-		return 1
+	for i, n := range s.weighed {
+		gain, load = gain+(n+1)*s.categories[i].Gain, load+(n+1)*s.expected(i)
 	}
 	own := s.categories[l.Category].Gain
 	if l.Party < len(s.parties) {
@@ -310,10 +320,10 @@
 func (b *Balancer) Place(now float64, l *Link) Answer {
 	if !l.known {
 		l.known, l.came, l.ran, l.server = true, now, -1, -1
-		b.shares.arrive(l.Category, now)
 		b.guess(l)
 	}
-	if !b.effects.again(l, now) {
+	failing := b.effects.failing()
+	if !b.effects.again(l, now) || failing > 0 && (l.tries > 0 || b.turns.chance.Float64() < failing) {
 		return b.effects.end(l, now, b.effects.maxBack)
 	}
 	b.refresh(now)
@@ -462,6 +472,9 @@
 		// Against a slow shared store, which times out set-ups everywhere: only the server's own probe tells.
 		b.probing.askedAt[s] = min(b.probing.askedAt[s], now-b.interval())
 	}
+	if !l.open && (outcome == Errored || outcome == TimedOut) {
+		b.effects.count(now, 0)
+	}
 	if last || l.open || l.gone {
 		return Answer{}
 	}
@@ -483,6 +496,8 @@
 func (b *Balancer) Accepted(now float64, l *Link) {
 	l.open = true
 	b.health.failed[l.server] = 0
+	b.effects.count(now, 1)
+	b.shares.stand(now)
 }
 
 // Resumed takes a link that stood before this relay knew of it.
@@ -557,7 +572,10 @@
 // interval weighs what probes cost, a link, against how old figures may get.
 func (b *Balancer) interval() float64 {
 	n := float64(len(b.ids))
-	return min(max(probeEvery, n*b.probing.fee/(max(b.shares.rate, 1e-6)*probeShare)), slowest)
+	if b.shares.rate == 0 {
+		return probeEvery
+	}
+	return min(max(probeEvery, n*b.probing.fee/(b.shares.rate*probeShare)), slowest)
 }
 
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -243,6 +243,27 @@
 	}
 }
 
+// Against a storm of tries on an overrun store: most links are sent back at once, and none gets a second try.
+func TestFailingSetupsAreNotRepeated(t *testing.T) {
+	b := fleet{Loads: []float64{0.3, 0.3, 0.3}}.build(t)
+	sent := 0
+	for i := range 200 {
+		now := start + float64(i)*20
+		l := arrive(now)
+		if b.Place(now, l).Verdict == Send {
+			sent++
+			if a := b.After(now+10, l, Errored, false); sent > 20 {
+				assert.Equal(t, Reject, a.Verdict)
+			}
+		}
+	}
+	assert.Less(t, sent, 100)
+	for i := range 60 {
+		b.Accepted(start+4000+float64(i), &Link{})
+	}
+	assert.Zero(t, b.effects.failing())
+}
+
 // Against one server's shed link tipping the next, and against sending on to the server that shed it.
 func TestShedLinksAreRemembered(t *testing.T) {
 	b := fleet{Loads: []float64{0.3, 0.3}, Relays: 1}.build(t)
@@ -267,7 +288,6 @@
 		l.Category = i % 2
 		b.Resumed(start, l, uint32(i%3+1))
 		b.Weighed(start, l, 100)
-		b.shares.arrive(i%2, start)
 	}
 	poor, rich := arrive(start), arrive(start)
 	rich.Category, rich.Party = 1, 1
--- a/logic/types.go
+++ b/logic/types.go
@@ -210,6 +210,8 @@
 	categories []Category
 	mostTries  int
 	maxBack    float64 // the longest wait a client follows; 0 where none may be told
+
+	tried, stood, asOf float64 // setup tries and links that stood, fading
 }
 
 // NewEffects takes the categories, the most setup tries of a link and the longest retry-after (0: none).
@@ -227,8 +229,9 @@
 	held     []float64 // links open, a party
 	loads    []float64 // mean load of a category's links, as far as known
 	weighed  []float64 // how many links that mean stands on
-	arrived  []float64 // arrivals a category, decaying
-	rate     float64   // arrivals a millisecond at this relay
+	stood    float64
+	over     float64
+	rate     float64 // links that stood a millisecond, at this relay
 	last     float64
 	loadMean float64
 	ended    memory
@@ -239,7 +242,7 @@
 	n := len(categories)
 	return &Shares{categories: categories, parties: parties, beyond: beyond, relays: float64(relays),
 		held: make([]float64, len(parties)), loads: make([]float64, n), weighed: make([]float64, n),
-		arrived: make([]float64, n), last: math.NaN(), loadMean: 1}
+		loadMean: 1}
 }
 
 // Balancer decides for one relay.
