Own fresh placements stand for half of each other relay's too

Cause: each relay adds only its own placements to a late figure, so several fill one server on the same report.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,6 +33,7 @@
 	reportLag  = 1500.0 // a report may be this old, so links placed since are added to it
 	nearLoad   = 0.40   // below this, a server of the own zone comes first where crossing is paid for
 	nearFee    = 2.0    // and by how much more for a fee of one
+	othersPart = 0.5    // of what this relay placed, that each other relay is held to have placed there too
 	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
 	room       = 0.75   // above this a link of the mean gain per load finds no room
 	roomSpread = 0.15   // how far gain per load moves that bound
@@ -311,7 +312,7 @@
 		l = b.mean
 	}
 	if b.capacity > 0 {
-		l += b.probing.fresh[s] / b.capacity
+		l += b.probing.fresh[s] * (1 + othersPart*(b.shares.relays-1)) / b.capacity
 	}
 	return l
 }
