--- a/logic/logic.go
+++ b/logic/logic.go
@@ -35,8 +35,8 @@
 	nearFee    = 2.0    // and by how much more for a fee of one
 	othersPart = 0.5    // of what this relay placed, that each other relay is held to have placed there too
 	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
-	room       = 0.75   // above this a link of the mean gain per load finds no room
-	roomSpread = 0.15   // how far gain per load moves that bound
+	room       = 0.80   // above this a link of the mean gain per load finds no room
+	roomSpread = 0.08   // how far gain per load moves that bound
 	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
 	rateMemory = 15000.0
 	keyMemory  = 60000.0
