--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,7 +37,7 @@
 	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
 	room       = 0.80   // above this a link of the mean gain per load finds no room
 	roomSpread = 0.08   // how far gain per load moves that bound
-	coldPace   = 1.5    // of what a cold server can do, against the fall multiple of the settings
+	coldPace   = 1.0    // of what a cold server can do, against the fall multiple of the settings
 	rateMemory = 15000.0
 	keyMemory  = 60000.0
 	tryMemory  = 10000.0
@@ -108,15 +108,14 @@
 	w.tokens[s] = w.chance.Float64() * 0.8
 }
 
-// ready keeps one relay's part of the budget: links come no faster than the server's present capacity,
-// split evenly over the relays, so that no agreement is needed.
-func (w *Warmup) ready(s int, now, capacity, weight float64) bool {
+// ready keeps one relay's part of the budget, so that no agreement is needed: links, weighed against the mean
+// one, come no faster than would fill what the server can do now over its warm-up, split evenly over the relays.
+func (w *Warmup) ready(s int, now, fill, weight float64) bool {
 	part := w.part(s, now)
 	if part >= 1 {
 		return true
 	}
-	rate := min(coldPace, w.multiple/2) * part * capacity / w.relays
-	w.tokens[s] = min(1, w.tokens[s]+rate*(now-w.asOf[s]))
+	w.tokens[s] = min(1, w.tokens[s]+min(coldPace, w.multiple/2)*part*fill/w.length/w.relays*(now-w.asOf[s]))
 	w.asOf[s] = now
 	return w.tokens[s] >= min(1, weight)
 }
@@ -367,10 +366,10 @@
 // there, but have no room for it.
 func (b *Balancer) choose(l *Link, now float64) (int, bool) {
 	avoid := l.server
-	linkRate := b.shares.rate * b.shares.relays / max(b.ready, 1) / max(b.mean, 0.1)
+	fill := b.capacity / b.shares.loadMean
 	open := func(s int) bool {
 		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
-			b.warmup.ready(s, now, linkRate, l.load/b.shares.loadMean)
+			b.warmup.ready(s, now, fill, l.load/b.shares.loadMean)
 	}
 	if past, ok := b.shares.ended.find(l.Key); ok && l.MidFlow && b.condition[past.server] == Ready {
 		return past.server, false // a link that flows goes on only where it was
