--- a/logic/logic.go
+++ b/logic/logic.go
@@ -472,7 +472,8 @@
 		// Against a slow shared store, which times out set-ups everywhere: only the server's own probe tells.
 		b.probing.askedAt[s] = min(b.probing.askedAt[s], now-b.interval())
 	}
-	if !l.open && (outcome == Errored || outcome == TimedOut) {
+	// A server that is silent itself says nothing of the store: against a cut zone being taken for a storm.
+	if !l.open && (outcome == Errored || outcome == TimedOut) && b.health.failed[s] == 0 {
 		b.effects.count(now, 0)
 	}
 	if last || l.open || l.gone {
