--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,7 @@
 	retryProbe = 300.0  // how soon a doubted server is asked again
 	reportLag  = 1500.0 // a report may be this old, so links placed since are added to it
 	nearLoad   = 0.40   // below this, a server of the own zone comes first where crossing is paid for
-	nearFee    = 2.0    // and by how much more for a fee of one
+	nearFee    = 4.0    // and by how much more for a fee of one
 	othersPart = 0.5    // of what this relay placed, that each other relay is held to have placed there too
 	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
 	room       = 0.80   // above this a link of the mean gain per load finds no room
