--- a/logic/types.go
+++ b/logic/types.go
@@ -212,11 +212,13 @@
 	maxBack    float64 // the longest wait a client follows; 0 where none may be told
 
 	tried, stood, asOf float64 // setup tries and links that stood, fading
+	width, cutAt       float64 // how many set-ups may be out at once
+	out                int
 }
 
 // NewEffects takes the categories, the most setup tries of a link and the longest retry-after (0: none).
 func NewEffects(categories []Category, mostTries int, maxBack float64) *Effects {
-	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack}
+	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack, width: widest}
 }
 
 // Shares values links: gain per load, less beyond a party's share.
