--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,10 +45,6 @@
 	perStood   = 2.0  // tries for each link that stands, beyond which most set-ups fail
 	easing     = 0.3  // of the way down that one report moves a load
 	holdStep   = 50.0
-	holdPart   = 0.5  // of the hard limit, for which a link waits for a set-up before it to end
-	widest     = 64.0 // set-ups out at once
-	narrowest  = 2.0
-	narrowing  = 0.7
 	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
 	askPart    = 0.8    // of the time after which silence counts as told
 	probeShare = 0.006  // what probes may cost a link, in points of the whole
@@ -161,17 +157,6 @@
 	e.tried, e.stood, e.asOf = e.tried*fade+1, e.stood*fade+stood, now
 }
 
-// judge widens or narrows how many set-ups may be out at once, by whether one stood in its promised time; one
-// sent before the last cut says nothing new. Against a wave on a slow shared store: set-ups then queue in the
-// store until they time out there, and the store's work is wasted on links that have been given up.
-func (e *Effects) judge(l *Link, now float64, timely bool) {
-	if timely {
-		e.width = min(e.width+1/e.width, widest)
-	} else if l.sent > e.cutAt {
-		e.width, e.cutAt = max(e.width*narrowing, narrowest), now
-	}
-}
-
 // failing is the part of the links not to try at all. Against a storm: when a store that all set-ups need is
 // overrun, further tries and the clients' own repeats keep it so long after what slowed it has passed.
 func (e *Effects) failing() float64 {
@@ -232,14 +217,6 @@
 	return own / max(l.load, 1e-9) / (gain / load)
 }
 
-// ListBegan starts news of the list; whole news lists every server there is.
-func (b *Balancer) ListBegan(now float64, whole bool) {
-	b.whole = whole
-	for s := range b.mentioned {
-		b.mentioned[s] = false
-	}
-}
-
 // Listed takes one entry.
 func (b *Balancer) Listed(now float64, id uint32, zone int, cond Condition, cell int, started, weight float64,
 ) {
@@ -341,23 +318,16 @@
 	if !b.effects.again(l, now) || failing > 0 && (l.tries > 0 || b.turns.chance.Float64() < failing) {
 		return b.effects.end(l, now, b.effects.maxBack)
 	}
-	c := &b.effects.categories[l.Category]
-	if float64(b.effects.out) >= b.effects.width {
-		if now < l.came+holdPart*c.HardLimit && now+holdStep < l.Limit {
-			return Answer{Verdict: Hold, Wait: holdStep}
-		}
-		return b.effects.end(l, now, b.effects.maxBack)
-	}
 	b.refresh(now)
 	s, crowded := b.choose(l, now)
 	if s < 0 {
+		c := &b.effects.categories[l.Category]
 		if !crowded && now < l.came+c.PromisedTime && now+holdStep < l.Limit {
 			return Answer{Verdict: Hold, Wait: holdStep}
 		}
 		return b.effects.end(l, now, b.effects.maxBack)
 	}
 	l.tries, l.server, l.sent, l.out = l.tries+1, s, now, true
-	b.effects.out++
 	b.book(l, s)
 	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
 	b.probing.fresh[s] += l.load
@@ -476,9 +446,6 @@
 	}
 	s := l.server
 	l.out = false
-	if !l.open {
-		b.effects.out--
-	}
 	b.unbook(l)
 	if l.open && l.measured && l.Key != 0 && outcome != Satisfied {
 		b.shares.ended.keep(now, keyMemory, l.Key, left{l.load, s})
@@ -500,9 +467,6 @@
 	// A server that is silent itself says nothing of the store: against a cut zone being taken for a storm.
 	if !l.open && (outcome == Errored || outcome == TimedOut) && b.health.failed[s] == 0 {
 		b.effects.count(now, 0)
-		if b.load(s) < 1 {
-			b.effects.judge(l, now, false)
-		}
 	}
 	if last || l.open || l.gone {
 		return Answer{}
@@ -524,39 +488,11 @@
 // Accepted takes that a link stands.
 func (b *Balancer) Accepted(now float64, l *Link) {
 	l.open = true
-	b.effects.out--
-	if c := &b.effects.categories[l.Category]; b.load(l.server) < 1 {
-		b.effects.judge(l, now, now-l.sent <= c.PromisedTime)
-	}
 	b.health.failed[l.server] = 0
 	b.effects.count(now, 1)
 	b.shares.stand(now)
 }
 
-// Resumed takes a link that stood before this relay knew of it.
-func (b *Balancer) Resumed(now float64, l *Link, id uint32) {
-	s, ok := b.index[id]
-	if !ok {
-		s = b.add(id)
-	}
-	b.guess(l)
-	l.known, l.came, l.ran, l.server, l.tries, l.out, l.open = true, now, s, s, 1, true, true
-	b.book(l, s)
-}
-
-// Weighed takes what a link weighs now, in microseconds of work a second.
-func (b *Balancer) Weighed(now float64, l *Link, load float64) {
-	if !(load >= 0) || math.IsInf(load, 1) || !l.out {
-		return
-	}
-	if !l.measured {
-		l.measured = true
-		b.shares.weigh(l.Category, load)
-	}
-	b.linkLoads[l.server] += load - l.load
-	l.load = load
-}
-
 // Probed takes the answer to a probe.
 func (b *Balancer) Probed(now float64, id uint32, ok bool, report []float64) {
 	s, known := b.index[id]
--- a/logic/types.go
+++ b/logic/types.go
@@ -212,13 +212,11 @@
 	maxBack    float64 // the longest wait a client follows; 0 where none may be told
 
 	tried, stood, asOf float64 // setup tries and links that stood, fading
-	width, cutAt       float64 // how many set-ups may be out at once
-	out                int
 }
 
 // NewEffects takes the categories, the most setup tries of a link and the longest retry-after (0: none).
 func NewEffects(categories []Category, mostTries int, maxBack float64) *Effects {
-	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack, width: widest}
+	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack}
 }
 
 // Shares values links: gain per load, less beyond a party's share.
@@ -356,3 +354,35 @@
 	l.gone = true
 	return l.out
 }
+
+// ListBegan starts news of the list; whole news lists every server there is.
+func (b *Balancer) ListBegan(now float64, whole bool) {
+	b.whole = whole
+	for s := range b.mentioned {
+		b.mentioned[s] = false
+	}
+}
+
+// Resumed takes a link that stood before this relay knew of it.
+func (b *Balancer) Resumed(now float64, l *Link, id uint32) {
+	s, ok := b.index[id]
+	if !ok {
+		s = b.add(id)
+	}
+	b.guess(l)
+	l.known, l.came, l.ran, l.server, l.tries, l.out, l.open = true, now, s, s, 1, true, true
+	b.book(l, s)
+}
+
+// Weighed takes what a link weighs now, in microseconds of work a second.
+func (b *Balancer) Weighed(now float64, l *Link, load float64) {
+	if !(load >= 0) || math.IsInf(load, 1) || !l.out {
+		return
+	}
+	if !l.measured {
+		l.measured = true
+		b.shares.weigh(l.Category, load)
+	}
+	b.linkLoads[l.server] += load - l.load
+	l.load = load
+}
