--- a/logic/logic.go
+++ b/logic/logic.go
@@ -248,7 +248,7 @@
 			b.condition[s] = Gone
 		}
 	}
-	b.turns.stale, b.turns.built = true, math.Inf(-1)
+	b.turns.expire()
 	if b.heard { // the cached list at the start is no answer
 		b.askAt, b.failures = now+b.askWithin*askPart, 0
 	}
@@ -459,7 +459,9 @@
 		b.probing.load[s] = max(b.probing.load[s], 1)
 		b.turns.stale = true
 	case outcome == Unreachable:
-		b.doubt(s, now)
+		b.doubt(s)
+	case outcome == Satisfied && !l.open: // an answer that is no stream
+		b.stood(now, s)
 	case outcome == TimedOut && !l.open:
 		// Against a slow shared store, which times out set-ups everywhere: only the server's own probe tells.
 		b.probing.askedAt[s] = min(b.probing.askedAt[s], now-b.interval())
@@ -477,20 +479,22 @@
 	return b.Place(now, l)
 }
 
-// doubt counts a failure, and lets the next probe come soon.
-func (b *Balancer) doubt(s int, now float64) {
+// doubt counts a failure, which also brings the next probe soon.
+func (b *Balancer) doubt(s int) {
 	b.health.failed[s]++
-	if b.health.failed[s] == 2 {
-		b.turns.stale, b.turns.built = true, math.Inf(-1)
-	}
+	b.turns.expire()
+}
+
+func (b *Balancer) stood(now float64, s int) {
+	b.health.failed[s] = 0
+	b.effects.count(now, 1)
+	b.shares.stand(now)
 }
 
 // Accepted takes that a link stands.
 func (b *Balancer) Accepted(now float64, l *Link) {
 	l.open = true
-	b.health.failed[l.server] = 0
-	b.effects.count(now, 1)
-	b.shares.stand(now)
+	b.stood(now, l.server)
 }
 
 // Probed takes the answer to a probe.
@@ -501,7 +505,7 @@
 	}
 	b.probing.sentAt[s] = math.NaN()
 	if !ok {
-		b.doubt(s, now)
+		b.doubt(s)
 		return
 	}
 	if b.health.lost[s] {
@@ -509,7 +513,7 @@
 		b.warmup.chill(s, now, now)
 	}
 	if !b.health.good(s) {
-		b.turns.built = math.Inf(-1)
+		b.turns.expire()
 	}
 	b.health.failed[s] = 0
 	b.Reported(now, id, report)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -152,6 +152,7 @@
 		assert.Equal(t, Over, b.After(start+50, l, Broken, c.last).Verdict, c.name)
 		assert.Equal(t, Over, b.After(start+60, l, Broken, false).Verdict, c.name)
 		assert.Zero(t, b.links[0]+b.links[1], c.name)
+		assert.Zero(t, b.probing.fresh[0]+b.probing.fresh[1], "a link that is over weighs on nothing")
 	}
 }
 
@@ -259,7 +260,13 @@
 	}
 	assert.Less(t, sent, 100)
 	for i := range 60 {
-		b.Accepted(start+4000+float64(i), &Link{out: true})
+		if i%2 == 0 {
+			b.Accepted(start+4000+float64(i), &Link{out: true})
+		} else {
+			l := &Link{out: true}
+			b.book(l, 0)
+			b.After(start+4000+float64(i), l, Satisfied, true)
+		}
 	}
 	assert.Zero(t, b.effects.failing())
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -311,7 +311,13 @@
 	}
 }
 
+// unbook also takes a link that is over out of what the next report may not hold yet.
 func (b *Balancer) unbook(l *Link) {
+	p, s := b.probing, l.server
+	if i := slices.IndexFunc(p.since[s], func(x placed) bool { return x.at == l.sent }); i >= 0 {
+		p.fresh[s] -= p.since[s][i].load
+		p.since[s] = slices.Delete(p.since[s], i, i+1)
+	}
 	b.links[l.server]--
 	b.linkLoads[l.server] -= l.load
 	if l.Party < len(b.shares.held) {
@@ -386,3 +392,6 @@
 	b.linkLoads[l.server] += load - l.load
 	l.load = load
 }
+
+// expire has the table built anew at the next link.
+func (t *Turns) expire() { t.stale, t.built = true, math.Inf(-1) }
