--- a/logic/logic.go
+++ b/logic/logic.go
@@ -5,8 +5,8 @@
 // to send this link, or not yet, or never), After (what to do after this outcome) and Next (how long to wait,
 // and the probe or subscription due; asked until it names none). What is seen comes in by ListBegan, Listed,
 // ListEnded, ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished. Plain types and their
-// bookkeeping are in types.go; the interface is the exported methods of Balancer. New takes each part with its
-// own settings. Times are milliseconds on the caller's clock.
+// bookkeeping are in types.go; the interface is the exported methods of Balancer. New takes each part with
+// its own settings. Times are milliseconds on the caller's clock.
 package logic
 
 import (
@@ -109,7 +109,7 @@
 }
 
 // ready keeps one relay's part of the budget, so that no agreement is needed: links, weighed against the mean
-// one, come no faster than would fill what the server can do now over its warm-up, split evenly over the relays.
+// one, come no faster than would fill what it can do now over its warm-up, split evenly over the relays.
 func (w *Warmup) ready(s int, now, fill, weight float64) bool {
 	part := w.part(s, now)
 	if part >= 1 {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -287,7 +287,7 @@
 	assert.Equal(t, 90000.0, again.load)
 }
 
-// A fleet without room: the link that gains more for its load still finds room, the other is sent back at once.
+// A fleet without room: the link of more gain per load still finds room, the other is sent back at once.
 func TestRoomGoesToTheGainPerLoad(t *testing.T) {
 	b := fleet{Loads: []float64{0.7, 0.7, 0.7}, MaxBack: 900}.build(t)
 	for i := range 30 {
