Probes may cost up to 0.012 a link

Cause: at four relays the fee stretched the interval to some 3 s, and figures that old let servers tip. Also tried, not kept: easing 0.15, sit-out above 0.9 of the mean, a third of the longest wait, twice the expected load.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,7 +47,7 @@
 	holdStep   = 50.0
 	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
 	askPart    = 0.8    // of the time after which silence counts as told
-	probeShare = 0.006  // what probes may cost a link, in points of the whole
+	probeShare = 0.012  // what probes may cost a link, in points of the whole
 	slowest    = 4000.0 // the design's bound of five seconds, less the answer's way
 )
 
