--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,13 +38,14 @@
 	room       = 0.80   // above this a link of the mean gain per load finds no room
 	roomSpread = 0.08   // how far gain per load moves that bound
 	coldPace   = 1.0    // of what a cold server can do, against the fall multiple of the settings
-	rateMemory = 15000.0
 	keyMemory  = 60000.0
 	tryMemory  = 10000.0
 	fewTries   = 10.0 // that may fail before anything is read from it
 	perStood   = 2.0  // tries for each link that stands, beyond which most set-ups fail
 	easing     = 0.3  // of the way down that one report moves a load
 	holdStep   = 50.0
+	holdPart   = 0.5    // of its time, that a link may wait for a server or for a set-up before it to end
+	widest     = 64.0   // set-ups out at once
 	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
 	askPart    = 0.8    // of the time after which silence counts as told
 	probeShare = 0.012  // what probes may cost a link, in points of the whole
@@ -153,8 +154,22 @@
 
 // count takes how a setup try went, over a fading memory.
 func (e *Effects) count(now, stood float64) {
+	if e.asOf == 0 {
+		e.asOf = now - probeEvery
+	}
 	fade := math.Exp((e.asOf - now) / tryMemory)
-	e.tried, e.stood, e.asOf = e.tried*fade+1, e.stood*fade+stood, now
+	e.tried, e.stood, e.over, e.asOf = e.tried*fade+1, e.stood*fade+stood, e.over*fade+now-e.asOf, now
+}
+
+// judge widens or halves how many set-ups may be out at once, by whether one stood in its promised time; one
+// sent before the last cut says nothing new. Against a wave on a shared store: set-ups queue there until they
+// time out, and all its work is wasted on links that were given up.
+func (e *Effects) judge(l *Link, now float64, timely bool) {
+	if timely {
+		e.width = min(e.width+1/e.width, widest)
+	} else if l.sent > e.cutAt {
+		e.width, e.cutAt = max(e.width/2, 1), now
+	}
 }
 
 // failing is the part of the links not to try at all. Against a storm: when a store that all set-ups need is
@@ -175,17 +190,6 @@
 	return Answer{Verdict: Reject, Wait: back}
 }
 
-// stand counts links that stand. Arrivals would not do: clients that come again and again would make servers
-// look able to take more.
-func (s *Shares) stand(now float64) {
-	if s.last == 0 {
-		s.last = now - probeEvery
-	}
-	fade := math.Exp((s.last - now) / rateMemory)
-	s.stood, s.over, s.last = s.stood*fade+1, s.over*fade+now-s.last, now
-	s.rate = s.stood / s.over
-}
-
 // weigh learns what links of a category weigh.
 func (s *Shares) weigh(c int, load float64) {
 	s.weighed[c] = min(s.weighed[c]+1, 50)
@@ -318,15 +322,20 @@
 	if !b.effects.again(l, now) || failing > 0 && (l.tries > 0 || b.turns.chance.Float64() < failing) {
 		return b.effects.end(l, now, b.effects.maxBack)
 	}
-	b.refresh(now)
-	s, crowded := b.choose(l, now)
-	if s < 0 {
-		c := &b.effects.categories[l.Category]
-		if !crowded && now < l.came+c.PromisedTime && now+holdStep < l.Limit {
-			return Answer{Verdict: Hold, Wait: holdStep}
+	s, until := -1, l.came+holdPart*(l.Limit-l.came)
+	if b.effects.out < int(b.effects.width) {
+		b.refresh(now)
+		var crowded bool
+		if s, crowded = b.choose(l, now); crowded {
+			until = now
 		}
+	}
+	if s < 0 && now+holdStep < until {
+		return Answer{Verdict: Hold, Wait: holdStep}
+	} else if s < 0 {
 		return b.effects.end(l, now, b.effects.maxBack)
 	}
+	b.effects.out++
 	l.tries, l.server, l.sent, l.out = l.tries+1, s, now, true
 	b.book(l, s)
 	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
@@ -446,6 +455,9 @@
 	}
 	s := l.server
 	l.out = false
+	if !l.open {
+		b.effects.out--
+	}
 	b.unbook(l)
 	if l.open && l.measured && l.Key != 0 && outcome != Satisfied {
 		b.shares.ended.keep(now, keyMemory, l.Key, left{l.load, s})
@@ -461,7 +473,7 @@
 	case outcome == Unreachable:
 		b.doubt(s)
 	case outcome == Satisfied && !l.open: // an answer that is no stream
-		b.stood(now, s)
+		b.stood(now, l)
 	case outcome == TimedOut && !l.open:
 		// Against a slow shared store, which times out set-ups everywhere: only the server's own probe tells.
 		b.probing.askedAt[s] = min(b.probing.askedAt[s], now-b.interval())
@@ -469,6 +481,7 @@
 	// A server that is silent itself says nothing of the store: against a cut zone being taken for a storm.
 	if !l.open && (outcome == Errored || outcome == TimedOut) && b.health.failed[s] == 0 {
 		b.effects.count(now, 0)
+		b.effects.judge(l, now, false)
 	}
 	if last || l.open || l.gone {
 		return Answer{}
@@ -485,16 +498,17 @@
 	b.turns.expire()
 }
 
-func (b *Balancer) stood(now float64, s int) {
-	b.health.failed[s] = 0
+func (b *Balancer) stood(now float64, l *Link) {
+	b.health.failed[l.server] = 0
 	b.effects.count(now, 1)
-	b.shares.stand(now)
+	b.effects.judge(l, now, now-l.sent <= b.effects.categories[l.Category].PromisedTime)
 }
 
 // Accepted takes that a link stands.
 func (b *Balancer) Accepted(now float64, l *Link) {
 	l.open = true
-	b.stood(now, l.server)
+	b.effects.out--
+	b.stood(now, l)
 }
 
 // Probed takes the answer to a probe.
@@ -545,10 +559,10 @@
 // interval weighs what probes cost, a link, against how old figures may get.
 func (b *Balancer) interval() float64 {
 	n := float64(len(b.ids))
-	if b.shares.rate == 0 {
+	if b.effects.stood == 0 {
 		return probeEvery
 	}
-	return min(max(probeEvery, n*b.probing.fee/(b.shares.rate*probeShare)), slowest)
+	return min(max(probeEvery, n*b.probing.fee*b.effects.over/(b.effects.stood*probeShare)), slowest)
 }
 
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
--- a/logic/types.go
+++ b/logic/types.go
@@ -211,12 +211,14 @@
 	mostTries  int
 	maxBack    float64 // the longest wait a client follows; 0 where none may be told
 
-	tried, stood, asOf float64 // setup tries and links that stood, fading
+	tried, stood, over, asOf float64 // setup tries, links that stood and the time of both, fading
+	width, cutAt             float64 // how many set-ups may be out at once
+	out                      int
 }
 
 // NewEffects takes the categories, the most setup tries of a link and the longest retry-after (0: none).
 func NewEffects(categories []Category, mostTries int, maxBack float64) *Effects {
-	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack}
+	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack, width: widest}
 }
 
 // Shares values links: gain per load, less beyond a party's share.
@@ -229,10 +231,6 @@
 	held     []float64 // links open, a party
 	loads    []float64 // mean load of a category's links, as far as known
 	weighed  []float64 // how many links that mean stands on
-	stood    float64
-	over     float64
-	rate     float64 // links that stood a millisecond, at this relay
-	last     float64
 	loadMean float64
 	ended    memory
 }
