Every setup try has all its time; narrowing from half the promised time

Cause: tries cut at 0.6 of their time left their work in the store and asked for more; and a store was already overrun when set-ups missed the promised time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,13 +40,11 @@
 	coldPace   = 1.0    // of what a cold server can do, against the fall multiple of the settings
 	keyMemory  = 60000.0
 	tryMemory  = 10000.0
-	fewTries   = 10.0 // that may fail before anything is read from it
-	perStood   = 2.0  // tries for each link that stands, beyond which most set-ups fail
-	easing     = 0.3  // of the way down that one report moves a load
+	easing     = 0.3 // of the way down that one report moves a load
 	holdStep   = 50.0
 	holdPart   = 0.5    // of its time, that a link may wait for a server or for a set-up before it to end
 	widest     = 64.0   // set-ups out at once
-	tryPart    = 0.6    // of the time left, for a setup try that may have another after it
+	timely     = 0.5    // of the promised time, within which a set-up shows that no store is overrun
 	askPart    = 0.8    // of the time after which silence counts as told
 	probeShare = 0.012  // what probes may cost a link, in points of the whole
 	slowest    = 4000.0 // the design's bound of five seconds, less the answer's way
@@ -152,32 +150,17 @@
 	return l.ran < 0 || c.Effect == Replayable || (c.Effect == Referenced && now < l.ranAt+c.RepeatWindow)
 }
 
-// count takes how a setup try went, over a fading memory.
-func (e *Effects) count(now, stood float64) {
-	if e.asOf == 0 {
-		e.asOf = now - probeEvery
-	}
-	fade := math.Exp((e.asOf - now) / tryMemory)
-	e.tried, e.stood, e.over, e.asOf = e.tried*fade+1, e.stood*fade+stood, e.over*fade+now-e.asOf, now
-}
-
-// judge widens or halves how many set-ups may be out at once, by whether one stood in its promised time; one
+// judge widens or halves how many set-ups may be out at once, by whether one stood in good time; one
 // sent before the last cut says nothing new. Against a wave on a shared store: set-ups queue there until they
 // time out, and all its work is wasted on links that were given up.
-func (e *Effects) judge(l *Link, now float64, timely bool) {
-	if timely {
+func (e *Effects) judge(l *Link, now float64, good bool) {
+	if good {
 		e.width = min(e.width+1/e.width, widest)
 	} else if l.sent > e.cutAt {
 		e.width, e.cutAt = max(e.width/2, 1), now
 	}
 }
 
-// failing is the part of the links not to try at all. Against a storm: when a store that all set-ups need is
-// overrun, further tries and the clients' own repeats keep it so long after what slowed it has passed.
-func (e *Effects) failing() float64 {
-	return max(0, (e.tried-perStood*e.stood-fewTries)/(e.tried+1))
-}
-
 // end gives the link up, at once. Against telling a client to repeat what may have run: then it is an error.
 func (e *Effects) end(l *Link, now, back float64) Answer {
 	c := &e.categories[l.Category]
@@ -318,8 +301,7 @@
 		l.known, l.came, l.ran, l.server = true, now, -1, -1
 		b.guess(l)
 	}
-	failing := b.effects.failing()
-	if !b.effects.again(l, now) || failing > 0 && (l.tries > 0 || b.turns.chance.Float64() < failing) {
+	if !b.effects.again(l, now) {
 		return b.effects.end(l, now, b.effects.maxBack)
 	}
 	s, until := -1, l.came+holdPart*(l.Limit-l.came)
@@ -332,7 +314,8 @@
 	}
 	if s < 0 && now+holdStep < until {
 		return Answer{Verdict: Hold, Wait: holdStep}
-	} else if s < 0 {
+	}
+	if s < 0 {
 		return b.effects.end(l, now, b.effects.maxBack)
 	}
 	b.effects.out++
@@ -343,11 +326,8 @@
 	if b.warmup.part(s, now) < 1 {
 		b.warmup.tokens[s] -= l.load / b.shares.loadMean
 	}
-	timeout := l.Limit - now
-	if b.effects.again(l, now) && b.ready > 1 {
-		timeout *= tryPart
-	}
-	return Answer{Verdict: Send, Backend: b.ids[s], Timeout: timeout, Round: l.tries - 1}
+	// All the time that is left: a try cut short on a slow store leaves its work there, and asks for more.
+	return Answer{Verdict: Send, Backend: b.ids[s], Timeout: l.Limit - now, Round: l.tries - 1}
 }
 
 // guess is a link's load until a note tells: what its key weighed last, the client's hint, or its category's.
@@ -480,7 +460,6 @@
 	}
 	// A server that is silent itself says nothing of the store: against a cut zone being taken for a storm.
 	if !l.open && (outcome == Errored || outcome == TimedOut) && b.health.failed[s] == 0 {
-		b.effects.count(now, 0)
 		b.effects.judge(l, now, false)
 	}
 	if last || l.open || l.gone {
@@ -499,9 +478,14 @@
 }
 
 func (b *Balancer) stood(now float64, l *Link) {
+	e := b.effects
+	if e.asOf == 0 {
+		e.asOf = now - probeEvery
+	}
+	fade := math.Exp((e.asOf - now) / tryMemory)
+	e.stood, e.over, e.asOf = e.stood*fade+1, e.over*fade+now-e.asOf, now
 	b.health.failed[l.server] = 0
-	b.effects.count(now, 1)
-	b.effects.judge(l, now, now-l.sent <= b.effects.categories[l.Category].PromisedTime)
+	e.judge(l, now, now-l.sent <= timely*e.categories[l.Category].PromisedTime)
 }
 
 // Accepted takes that a link stands.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -244,31 +244,48 @@
 	}
 }
 
-// Against a storm of tries on an overrun store: most links are sent back at once, and none gets a second try.
-func TestFailingSetupsAreNotRepeated(t *testing.T) {
-	b := fleet{Loads: []float64{0.3, 0.3, 0.3}}.build(t)
-	sent := 0
-	for i := range 200 {
-		now := start + float64(i)*20
-		l := arrive(now)
-		if b.Place(now, l).Verdict == Send {
-			sent++
-			if a := b.After(now+10, l, Errored, false); sent > 20 {
-				assert.Equal(t, Reject, a.Verdict)
+// Against a wave on an overrun store: set-ups that are late or fail narrow how many are out, others wait here.
+func TestSetupsOutAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome Outcome
+		silent  bool
+		want    int
+	}{
+		{"time-outs", TimedOut, false, 1},
+		{"errors", Errored, false, 1},
+		{"called off", CalledOff, false, 64},
+		{"time-outs on silent servers say nothing of the store", TimedOut, true, 64},
+	} {
+		b := fleet{Loads: []float64{0.3, 0.3, 0.3}}.build(t)
+		for i := range 10 {
+			now := start + float64(i)*1000
+			l := arrive(now)
+			require.Equal(t, Send, b.Place(now, l).Verdict, c.name)
+			if c.silent {
+				b.health.failed[l.server] = 1
 			}
+			b.After(now+500, l, c.outcome, true)
+			b.health.failed[l.server] = 0
 		}
-	}
-	assert.Less(t, sent, 100)
-	for i := range 60 {
-		if i%2 == 0 {
-			b.Accepted(start+4000+float64(i), &Link{out: true})
-		} else {
-			l := &Link{out: true}
-			b.book(l, 0)
-			b.After(start+4000+float64(i), l, Satisfied, true)
+		sent, now := 0, start+20000
+		for range 100 {
+			if b.Place(now, arrive(now)).Verdict == Send {
+				sent++
+			}
 		}
+		assert.Equal(t, float64(c.want), b.effects.width, c.name)
+		assert.LessOrEqual(t, sent, c.want, c.name)
+	}
+	b := fleet{Loads: []float64{0.3}}.build(t)
+	b.effects.width = 1
+	for i := range 20 {
+		now := start + float64(i)*100
+		l := arrive(now)
+		require.Equal(t, Send, b.Place(now, l).Verdict)
+		b.Accepted(now+20, l)
 	}
-	assert.Zero(t, b.effects.failing())
+	assert.Greater(t, b.effects.width, 5.0, "it widens when set-ups stand in good time")
 }
 
 // Against one server's shed link tipping the next, and against sending on to the server that shed it.
--- a/logic/types.go
+++ b/logic/types.go
@@ -211,9 +211,9 @@
 	mostTries  int
 	maxBack    float64 // the longest wait a client follows; 0 where none may be told
 
-	tried, stood, over, asOf float64 // setup tries, links that stood and the time of both, fading
-	width, cutAt             float64 // how many set-ups may be out at once
-	out                      int
+	stood, over, asOf float64 // links that stood and the time of it, fading
+	width, cutAt      float64 // how many set-ups may be out at once
+	out               int
 }
 
 // NewEffects takes the categories, the most setup tries of a link and the longest retry-after (0: none).
