Capacity held fades; one path for a server's start; mid-flow links at the first try

Cause: read through once more: the most capacity ever seen would stand for the life of a relay after one late report.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -28,19 +28,19 @@
 
 // What the design leaves open.
 const (
-	silentFor  = 2000.0 // a silence this long may have been a restart
-	retryProbe = 300.0  // how soon a doubted server is asked again
-	reportLag  = 1500.0 // a report may be this old, so links placed since are added to it
-	nearLoad   = 0.40   // below this, a server of the own zone comes first where crossing is paid for
-	nearFee    = 4.0    // and by how much more for a fee of one
-	othersPart = 0.5    // of what this relay placed, that each other relay is held to have placed there too
-	calmLoad   = 0.45   // below this, no server sits turns out for being busier than the mean
-	room       = 0.80   // above this a link of the mean gain per load finds no room
-	roomSpread = 0.08   // how far gain per load moves that bound
-	coldPace   = 1.0    // of what a cold server can do, against the fall multiple of the settings
-	keyMemory  = 60000.0
-	tryMemory  = 10000.0
-	easing     = 0.3 // of the way down that one report moves a load
+	retryProbe = 300.0   // how soon a doubted server is asked again
+	reportLag  = 1500.0  // a report may be this old, so links placed since are added to it
+	nearLoad   = 0.40    // below this, a server of the own zone comes first where crossing is paid for
+	nearFee    = 4.0     // and by how much more for a fee of one
+	othersPart = 0.5     // of what this relay placed, that each other relay is held to have placed there too
+	calmLoad   = 0.45    // below this, no server sits turns out for being busier than the mean
+	room       = 0.80    // above this a link of the mean gain per load finds no room
+	roomSpread = 0.08    // how far gain per load moves that bound
+	coldPace   = 1.0     // of what a cold server can do, against the fall multiple of the settings
+	keyMemory  = 60000.0 // for which the load of a link that broke is kept, at least
+	tryMemory  = 10000.0 // over which links that stand are counted
+	easing     = 0.3     // of the way down that one report moves a load
+	fading     = 0.995   // of the capacity held, at each rebuild
 	holdStep   = 50.0
 	holdPart   = 0.5    // of its time, that a link may wait for a server or for a set-up before it to end
 	widest     = 64.0   // set-ups out at once
@@ -213,11 +213,8 @@
 			return
 		}
 		s = b.add(id)
-		b.started[s] = started
-		if started > 0 {
-			b.warmup.chill(s, started, now)
-		}
-	} else if started > b.started[s] {
+	}
+	if started > b.started[s] {
 		// A restart under the same id is a cold server: figures from before say nothing of it.
 		b.started[s] = started
 		b.warmup.chill(s, started, now)
@@ -266,8 +263,9 @@
 	}
 	b.mean = sum / max(known, 1)
 	if sum > nearZero*known {
-		// The most seen: a relay just restarted holds less than its part of the links.
-		b.capacity = max(b.capacity, own*b.shares.relays/sum*known/b.ready)
+		// The most seen, fading: a relay just restarted holds less than its part of the links, but one late
+		// report must not count for ever.
+		b.capacity = max(fading*b.capacity, own*b.shares.relays/sum*known/b.ready)
 	}
 	for s, c := range b.condition {
 		b.turns.counts[s] = 0
@@ -352,8 +350,10 @@
 		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
 			b.warmup.ready(s, now, fill, l.load/b.shares.loadMean)
 	}
-	if past, ok := b.shares.ended.find(l.Key); ok && l.MidFlow && b.condition[past.server] == Ready {
-		return past.server, false // a link that flows goes on only where it was
+	// A link that flows goes on only where it was.
+	past, ok := b.shares.ended.find(l.Key)
+	if ok && l.MidFlow && l.tries == 0 && b.condition[past.server] == Ready {
+		return past.server, false
 	}
 	bound := room + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
 	weight := 0.0
@@ -442,9 +442,8 @@
 	if l.open && l.measured && l.Key != 0 && outcome != Satisfied {
 		b.shares.ended.keep(now, keyMemory, l.Key, left{l.load, s})
 	}
-	silent := b.health.failed[s] > 0 || now-b.probing.sentAt[s] > silentFor
 	switch {
-	case outcome == Broken && l.open && silent:
+	case outcome == Broken && l.open && b.health.failed[s] > 0:
 		b.health.lost[s] = true
 	case outcome == TurnedAway || outcome == Broken && l.open:
 		// Against sending on to a server that sheds or turns away until its next, late report says so.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -217,6 +217,22 @@
 	assert.Less(t, b.warmup.part(0, start+10), 0.21)
 }
 
+// A silence in which links broke was a restart; one that links outlived was a cut, and ends warm.
+func TestSilenceThatEnds(t *testing.T) {
+	for _, broke := range []bool{true, false} {
+		b := fleet{Loads: []float64{0.4}}.build(t)
+		l := arrive(start)
+		b.Place(start, l)
+		b.Accepted(start, l)
+		b.Probed(start+100, 1, false, nil)
+		if broke {
+			b.After(start+200, l, Broken, true)
+		}
+		b.Probed(start+9000, 1, true, []float64{0, 0})
+		assert.Equal(t, broke, b.warmup.part(0, start+9000) < 1)
+	}
+}
+
 // Two failures put a server out, one does not, and an answer brings it back.
 func TestHealth(t *testing.T) {
 	b := fleet{Loads: []float64{0.4, 0.4}}.build(t)
--- a/logic/types.go
+++ b/logic/types.go
@@ -295,7 +295,7 @@
 	delete(b.index, b.ids[s])
 	b.index[id], b.ids[s] = s, id
 	b.health.failed[s], b.health.lost[s] = 0, false
-	b.warmup.since[s] = never
+	b.warmup.since[s], b.started[s] = never, 0
 	b.probing.load[s], b.probing.sentAt[s], b.probing.askedAt[s] = nan, nan, never
 	b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
 	return s
