--- a/logic/logic.go
+++ b/logic/logic.go
@@ -445,10 +445,6 @@
 	switch {
 	case outcome == Broken && l.open && b.health.failed[s] > 0:
 		b.health.lost[s] = true
-	case outcome == TurnedAway || outcome == Broken && l.open:
-		// Against sending on to a server that sheds or turns away until its next, late report says so.
-		b.probing.load[s] = max(b.probing.load[s], 1)
-		b.turns.stale = true
 	case outcome == Unreachable:
 		b.doubt(s)
 	case outcome == Satisfied && !l.open: // an answer that is no stream
