--- a/logic/logic.go
+++ b/logic/logic.go
@@ -565,8 +565,8 @@
 			continue
 		}
 		if math.IsInf(b.probing.askedAt[s], -1) {
-			// Against all relays asking all servers at the same moments.
-			b.probing.askedAt[s] = now - b.turns.chance.Float64()*every
+			// Against all relays asking all servers at the same moment, and against a young relay that is blind.
+			b.probing.askedAt[s] = now + b.turns.chance.Float64()*retryProbe - every
 		}
 		wait := b.probing.askedAt[s] + every - now
 		if b.health.failed[s] > 0 {
@@ -574,6 +574,9 @@
 		}
 		if wait <= 0 {
 			b.probing.askedAt[s], b.probing.sentAt[s] = now, now
+			if math.IsNaN(b.probing.load[s]) {
+				b.probing.askedAt[s] -= b.turns.chance.Float64() * every // so that later probes stand apart
+			}
 			return Due{Probing: true, Probe: b.ids[s]}
 		}
 		d.Wait = min(d.Wait, wait)
