--- a/internal/adapter/settings.go
+++ b/internal/adapter/settings.go
@@ -84,7 +84,6 @@
 		at := fmt.Sprintf("categories.%d.", i)
 		c := logic.Category{
 			PromisedTime: p.number(at + "promised-time-ms"),
-			HardLimit:    p.number(at + "hard-limit-ms"),
 			Gain:         p.number(at + "gain"),
 			Effect:       logic.Effect(p.word(at+"effect", "idempotent", "deduplicated", "at_most_once")),
 		}
@@ -95,22 +94,18 @@
 		categories = append(categories, c)
 	}
 
-	n = int(p.optional("parties.count", 0))
-	var quota []string
+	n = int(min(p.optional("parties.count", 0), 1e6))
+	var listed []string
 	if list := p.values["family-info.tenant-quota-connections"]; list != "" {
-		quota = strings.Split(list, ",")
+		listed = strings.Split(list, ",")
 	}
-	var parties []logic.Party
-	for i := 0; i < n && p.err == nil; i++ {
-		party := logic.Party{}
-		if i < len(quota) {
-			links, err := strconv.ParseFloat(quota[i], 64)
-			if err != nil {
-				p.fail("family-info.tenant-quota-connections", "numbers")
-			}
-			party.Links = links
+	quotas := make([]float64, n)
+	for i := range min(n, len(listed)) {
+		links, err := strconv.ParseFloat(listed[i], 64)
+		if err != nil || math.IsNaN(links) {
+			p.fail("family-info.tenant-quota-connections", "numbers")
 		}
-		parties = append(parties, party)
+		quotas[i] = links
 	}
 
 	asked := p.word("discovery", "automatic", "subscribe") == 1
@@ -130,12 +125,12 @@
 		p.number("contract.tip-multiple"), relays, chance)
 	probing := logic.NewProbing(p.flag("limits.probes"), p.optional("fees.probe", 0), fields)
 	effects := logic.NewEffects(categories, p.count("limits.most-setup-tries"), maxBack)
-	shares := logic.NewShares(categories, parties, p.optional("beyond-share-gain", 1), relays)
+	shares := logic.NewShares(categories, quotas, p.optional("beyond-share-gain", 1), relays)
 	zone := p.count("zone")
 	if p.err != nil {
 		return nil, p.err
 	}
 	return logic.New(logic.NewRoster(asked, askWithin), logic.NewTurns(chance), warmup, probing, effects, shares,
 		zone, p.optional("fees.cross-zone", 0), p.values["family-info.groups"] == "true",
-		p.values["family-info.mode"] == "pass"), p.err
+		p.values["family-info.mode"] == "pass"), nil
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -196,10 +196,8 @@
 		gain, load = gain+(n+1)*s.categories[i].Gain, load+(n+1)*s.expected(i)
 	}
 	own := s.categories[l.Category].Gain
-	if l.Party < len(s.parties) {
-		if p := s.parties[l.Party]; p.Links > 0 && s.held[l.Party]*s.relays > p.Links {
-			own *= s.beyond
-		}
+	if l.Party < len(s.quotas) && s.quotas[l.Party] > 0 && s.held[l.Party]*s.relays > s.quotas[l.Party] {
+		own *= s.beyond
 	}
 	return own / max(l.load, 1e-9) / (gain / load)
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -56,14 +56,11 @@
 
 // Category is what the settings say of one kind of link.
 type Category struct {
-	PromisedTime, HardLimit, RepeatWindow, Gain float64
-	Effect                                      Effect
-	Scope                                       Scope
+	PromisedTime, RepeatWindow, Gain float64
+	Effect                           Effect
+	Scope                            Scope
 }
 
-// Party is one customer's part of the service: links a second, and links open, for all relays together.
-type Party struct{ Rate, Links float64 }
-
 // Link is one client's connection, from its arrival until its end. The caller fills the first block.
 type Link struct {
 	Category, Party int
@@ -224,7 +221,7 @@
 // Shares values links: gain per load, less beyond a party's share.
 type Shares struct {
 	categories []Category
-	parties    []Party
+	quotas     []float64 // links open in each party's share, for all relays together; 0: no share
 	beyond     float64
 	relays     float64
 
@@ -235,11 +232,11 @@
 	ended    memory
 }
 
-// NewShares takes categories, parties, what gain beyond a share is worth, and the number of relays.
-func NewShares(categories []Category, parties []Party, beyond float64, relays int) *Shares {
+// NewShares takes categories, the parties' quotas of open links, what gain beyond a share is worth, and the number of relays.
+func NewShares(categories []Category, quotas []float64, beyond float64, relays int) *Shares {
 	n := len(categories)
-	return &Shares{categories: categories, parties: parties, beyond: beyond, relays: float64(relays),
-		held: make([]float64, len(parties)), loads: make([]float64, n), weighed: make([]float64, n),
+	return &Shares{categories: categories, quotas: quotas, beyond: beyond, relays: float64(relays),
+		held: make([]float64, len(quotas)), loads: make([]float64, n), weighed: make([]float64, n),
 		loadMean: 1}
 }
 
