--- a/logic/logic.go
+++ b/logic/logic.go
@@ -483,6 +483,9 @@
 
 // Accepted takes that a link stands.
 func (b *Balancer) Accepted(now float64, l *Link) {
+	if !l.out || l.open {
+		return // told twice, or too late
+	}
 	l.open = true
 	b.effects.out--
 	b.stood(now, l)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -148,9 +148,12 @@
 		b.Place(start, l)
 		if c.open {
 			b.Accepted(start+20, l)
+			b.Accepted(start+20, l)
 		}
 		assert.Equal(t, Over, b.After(start+50, l, Broken, c.last).Verdict, c.name)
 		assert.Equal(t, Over, b.After(start+60, l, Broken, false).Verdict, c.name)
+		b.Accepted(start+70, l)
+		assert.Zero(t, b.effects.out, c.name)
 		assert.Zero(t, b.links[0]+b.links[1], c.name)
 		assert.Zero(t, b.probing.fresh[0]+b.probing.fresh[1], "a link that is over weighs on nothing")
 	}
