Read-through: one less parameter, one test for no server, no server told twice

The time to come back was handed to end by each caller though it never varied, and was then bounded by itself; Place asked twice whether a server was found; book took the server that the link already holds. No behaviour changed.

--- a/internal/adapter/adapter_test.go
+++ b/internal/adapter/adapter_test.go
@@ -68,7 +68,7 @@
 		batch(900, 1, 0),
 		batch(1000, 2, 6, about, hello(profile), page, cached, incoming("01000000"), "0201 01000000 0000 09000000 "+
 			"0000000000000000"),
-		// The link stands twice over, an outcome for a link that is over, a timer nobody set, a gone client.
+		// An outcome for a link never seen, a timer nobody set, a client gone that was never here.
 		batch(1100, 3, 4, about, "0d01 63000000 00 0000 09000000 0000000000000000 04 00", "0401 63000000",
 			"0101 63000000"),
 		batch(1200, 4, 2, about, "0d01 01000000 01 0000 09000000 0000000000000000 0a 00"),
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -162,15 +162,14 @@
 }
 
 // end gives the link up, at once. Against telling a client to repeat what may have run: then it is an error.
-func (e *Effects) end(l *Link, now, back float64) Answer {
+func (e *Effects) end(l *Link, now float64) Answer {
 	c := &e.categories[l.Category]
-	back = min(back, e.maxBack)
 	harmless := l.ran < 0 || c.Effect == Replayable ||
-		(c.Effect == Referenced && c.Scope == ScopeAll && now+back < l.ranAt+c.RepeatWindow)
+		(c.Effect == Referenced && c.Scope == ScopeAll && now+e.maxBack < l.ranAt+c.RepeatWindow)
 	if !harmless {
 		return Answer{Verdict: Fail}
 	}
-	return Answer{Verdict: Reject, Wait: back}
+	return Answer{Verdict: Reject, Wait: e.maxBack}
 }
 
 // weigh learns what links of a category weigh.
@@ -298,7 +297,7 @@
 		b.guess(l)
 	}
 	if !b.effects.again(l, now) {
-		return b.effects.end(l, now, b.effects.maxBack)
+		return b.effects.end(l, now)
 	}
 	s, until := -1, l.came+holdPart*(l.Limit-l.came)
 	if b.effects.out < int(b.effects.width) {
@@ -308,15 +307,15 @@
 			until = now
 		}
 	}
-	if s < 0 && now+holdStep < until {
-		return Answer{Verdict: Hold, Wait: holdStep}
-	}
 	if s < 0 {
-		return b.effects.end(l, now, b.effects.maxBack)
+		if now+holdStep < until {
+			return Answer{Verdict: Hold, Wait: holdStep}
+		}
+		return b.effects.end(l, now)
 	}
 	b.effects.out++
 	l.tries, l.server, l.sent, l.out = l.tries+1, s, now, true
-	b.book(l, s)
+	b.book(l)
 	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
 	b.probing.fresh[s] += l.load
 	if b.warmup.part(s, now) < 1 {
--- a/logic/types.go
+++ b/logic/types.go
@@ -232,7 +232,8 @@
 	ended    memory
 }
 
-// NewShares takes categories, the parties' quotas of open links, what gain beyond a share is worth, and the number of relays.
+// NewShares takes categories, the parties' quotas of open links, what gain beyond a share is worth, and the
+// number of relays.
 func NewShares(categories []Category, quotas []float64, beyond float64, relays int) *Shares {
 	n := len(categories)
 	return &Shares{categories: categories, quotas: quotas, beyond: beyond, relays: float64(relays),
@@ -298,9 +299,9 @@
 	return s
 }
 
-func (b *Balancer) book(l *Link, s int) {
-	b.links[s]++
-	b.linkLoads[s] += l.load
+func (b *Balancer) book(l *Link) {
+	b.links[l.server]++
+	b.linkLoads[l.server] += l.load
 	if l.Party < len(b.shares.held) {
 		b.shares.held[l.Party]++
 	}
@@ -313,8 +314,8 @@
 		p.fresh[s] -= p.since[s][i].load
 		p.since[s] = slices.Delete(p.since[s], i, i+1)
 	}
-	b.links[l.server]--
-	b.linkLoads[l.server] -= l.load
+	b.links[s]--
+	b.linkLoads[s] -= l.load
 	if l.Party < len(b.shares.held) {
 		b.shares.held[l.Party]--
 	}
@@ -372,7 +373,7 @@
 	}
 	b.guess(l)
 	l.known, l.came, l.ran, l.server, l.tries, l.out, l.open = true, now, s, s, 1, true, true
-	b.book(l, s)
+	b.book(l)
 }
 
 // Weighed takes what a link weighs now, in microseconds of work a second.
