Links have a few servers asked as they come, where a fleet can't be kept in use

Figures were old when a link came, all the same.

Change: where probing all servers every four seconds costs more than 0.012 a link, a link has five servers asked when it comes (drawn by its group, or by lot), waits up to a tenth of its promised time, and the turns walk over those that answered. Cold servers are reached by a chance per link that sums to the budget over all relays, in place of saved tokens. The parties' shares tell what a server holds; a relay's own handful of links counts less. Placements of other relays count for 8 relays at most. Set-ups out at once are 64 over all relays, under one as a chance. The list's silence, first asking and failures are spread by the number of relays. Fields for loads are picked once. Memory of a mid-flow link's server is out.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -26,6 +26,7 @@
 	balancer *logic.Balancer
 	links    map[uint32]*hand
 	held     []*hand
+	answered bool    // a probe was, for which held links may wait
 	wake     float64 // when the timer that counts fires
 	ticket   uint32
 	touched  bool
@@ -148,7 +149,7 @@
 		if options&1 != 0 && hint > 0 {
 			l.Hint = hint * 1000
 		}
-		l.Group, l.MidFlow = group, options&8 != 0
+		l.Group = group
 		server := uint32(0)
 		if code == wire.Resumed {
 			server = in.U32()
@@ -203,6 +204,7 @@
 		reason := in.U8()
 		h.report = in.Report(h.report)
 		if in.Err == nil && i.balancer != nil {
+			i.answered = true
 			i.balancer.Probed(h.now, server, reason == 0, h.report)
 		}
 	case wire.Fired:
@@ -251,7 +253,7 @@
 		started := rows.F64()
 		rows.U8()
 		weight, id := rows.F32(), rows.U32()
-		b.Listed(h.now, id, zone, condition, cell, started, weight)
+		b.Listed(id, zone, condition, cell, started, weight)
 	}
 	b.ListEnded(h.now)
 }
@@ -299,12 +301,13 @@
 	waiting := i.held
 	i.held = i.held[len(i.held):]
 	for _, l := range waiting {
-		if l.again <= h.now {
+		if l.again <= h.now || (i.answered && !math.IsInf(l.again, 1)) {
 			h.carry(i, l, i.balancer.Place(h.now, &l.Link))
 		} else if !math.IsInf(l.again, 1) {
 			i.held = append(i.held, l)
 		}
 	}
+	i.answered = false
 	due := i.balancer.Next(h.now)
 	for ; due.Probing || due.Subscribe; due = i.balancer.Next(h.now) {
 		if due.Probing {
--- a/internal/adapter/adapter_test.go
+++ b/internal/adapter/adapter_test.go
@@ -26,6 +26,7 @@
 stats.how=none
 contract.cold-from=0.2
 contract.cold-ms=9000
+contract.fall-ms=2000
 contract.tip-multiple=3
 limits.probes=false
 limits.retry-after=true
--- a/internal/adapter/settings.go
+++ b/internal/adapter/settings.go
@@ -122,9 +122,9 @@
 		maxBack = p.number("limits.max-retry-after-ms")
 	}
 	warmup := logic.NewWarmup(p.number("contract.cold-from"), p.number("contract.cold-ms"),
-		p.number("contract.tip-multiple"), relays, chance)
+		p.number("contract.tip-multiple"), p.number("contract.fall-ms"), relays)
 	probing := logic.NewProbing(p.flag("limits.probes"), p.optional("fees.probe", 0), fields)
-	effects := logic.NewEffects(categories, p.count("limits.most-setup-tries"), maxBack)
+	effects := logic.NewEffects(categories, p.count("limits.most-setup-tries"), maxBack, relays)
 	shares := logic.NewShares(categories, quotas, p.optional("beyond-share-gain", 1), relays)
 	zone := p.count("zone")
 	if p.err != nil {
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -31,17 +31,17 @@
 		{PromisedTime: 300, RepeatWindow: f.Window, Gain: 1, Effect: f.Effect, Scope: f.Scope},
 		{PromisedTime: 300, RepeatWindow: f.Window, Gain: 5, Effect: f.Effect, Scope: f.Scope},
 	}
-	b := New(NewRoster(f.Asked, 10000), NewTurns(chance), NewWarmup(0.2, 20000, 3, relays, chance),
+	b := New(NewRoster(f.Asked, 10000), NewTurns(chance), NewWarmup(0.2, 20000, 3, 2000, relays),
 		NewProbing(true, 0.002, []string{"queue", "x0"}),
-		NewEffects(categories, max(f.Tries, 3), f.MaxBack),
-		NewShares(categories, []float64{10}, 0.2, relays), 0, f.Crossed, f.Grouped, false)
+		NewEffects(categories, max(f.Tries, 3), f.MaxBack, relays),
+		NewShares(categories, []float64{10, 990}, 0.2, relays), 0, f.Crossed, f.Grouped, false)
 	b.ListBegan(start, true)
 	for i := range f.Loads {
 		cold := 0.0
 		if i == len(f.Loads)-1 {
 			cold = f.Cold
 		}
-		b.Listed(start, uint32(i+1), i%2, Ready, i%2, cold, 1)
+		b.Listed(uint32(i+1), i%2, Ready, i%2, cold, 1)
 	}
 	b.ListEnded(start)
 	for i, load := range f.Loads {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,11 +12,11 @@
 import (
 	"cmp"
 	"math"
+	"math/rand"
 	"slices"
 )
 
-// The design's constants, as its page gives them.
-const (
+const ( // the design's, as its page gives them
 	alpha       = 0.5
 	base        = 10
 	fewest      = 2
@@ -26,28 +26,36 @@
 	rebuildTime = 1000.0 // no more rebuilds than reports to rebuild from
 )
 
-// What the design leaves open.
-const (
+const ( // what the design leaves open
 	retryProbe = 300.0   // how soon a doubted server is asked again
 	reportLag  = 1500.0  // a report may be this old, so links placed since are added to it
+	slowest    = 4000.0  // the design's bound of five seconds, less the answer's way
+	probeShare = 0.012   // what probes may cost a link, in points of the whole
+	drafted    = 5       // servers that a link is chosen among, where the whole fleet can't be kept in use
+	drafts     = 2       // how often it may have some asked
+	patience   = 0.1     // of its promised time, that a link waits for their answers
+	linkEvery  = 2000.0  // a server is held to be sent one link in this time, until arrivals tell
 	nearLoad   = 0.40    // below this, a server of the own zone comes first where crossing is paid for
 	nearFee    = 4.0     // and by how much more for a fee of one
-	othersPart = 0.5     // of what this relay placed, that each other relay is held to have placed there too
+	farFee     = 20.0    // how much later one across zones is drawn to be asked, for a fee of one
+	othersPart = 0.5     // of what this relay placed, that another relay is held to have placed there too
+	herd       = 8.0     // other relays, from which each further one counts for ever less
+	crowded    = 1.5     // times the mean, above which a server has no room where loads are parts of nothing
 	calmLoad   = 0.45    // below this, no server sits turns out for being busier than the mean
 	room       = 0.80    // above this a link of the mean gain per load finds no room
 	roomSpread = 0.08    // how far gain per load moves that bound
-	coldPace   = 1.0     // of what a cold server can do, against the fall multiple of the settings
-	keyMemory  = 60000.0 // for which the load of a link that broke is kept, at least
+	quotaPart  = 0.8     // of what the fleet holds, that the parties' shares come to
+	quotaFaith = 20.0    // links of its own, from which a relay trusts their load as much as the shares
+	keyMemory  = 60000.0 // for which the load of a link that broke is kept
 	tryMemory  = 10000.0 // over which links that stand are counted
-	easing     = 0.3     // of the way down that one report moves a load
-	fading     = 0.995   // of the capacity held, at each rebuild
+	easing     = 0.3     // of the way down that a load moves in the time of one report
 	holdStep   = 50.0
 	holdPart   = 0.5    // of its time, that a link may wait for a server or for a set-up before it to end
-	widest     = 64.0   // set-ups out at once
+	widest     = 64.0   // set-ups out at once, of all relays
 	timely     = 0.5    // of the promised time, within which a set-up shows that no store is overrun
 	askPart    = 0.8    // of the time after which silence counts as told
-	probeShare = 0.012  // what probes may cost a link, in points of the whole
-	slowest    = 4000.0 // the design's bound of five seconds, less the answer's way
+	askRelay   = 1000.0 // between two relays' asking of the list anew
+	askSpread  = 20.0   // between two relays' first asking
 )
 
 // buckets is the paper's formula. A load that is not known comes in as the mean.
@@ -59,8 +67,7 @@
 	return int(min(max(n, fewest), most))
 }
 
-// build spreads each server's buckets evenly. Phases differ by the golden section, since servers with like
-// counts would otherwise come up in clumps, in the same order in every round.
+// build spreads each server's buckets evenly, by the golden section against servers in clumps.
 func (t *Turns) build(now float64) {
 	t.table = t.table[:0]
 	for s, n := range t.counts {
@@ -72,13 +79,10 @@
 	slices.SortFunc(t.table, func(a, b bucket) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server))
 	})
-	if len(t.table) > 0 {
-		t.at = t.chance.Intn(len(t.table))
-	}
+	t.at = t.chance.Intn(max(len(t.table), 1))
 	t.built, t.stale = now, false
 }
 
-// next walks on to the first bucket whose server may take the link.
 func (t *Turns) next(may func(server int) bool) int {
 	for range t.table {
 		s := t.table[t.at].server
@@ -93,7 +97,6 @@
 // good wants two failures before a server is out: one lost probe or one stall is not a death.
 func (h *Health) good(s int) bool { return h.failed[s] < 2 }
 
-// part is the least that the server can do now, as a part of its capacity.
 func (w *Warmup) part(s int, now float64) float64 {
 	if w.length <= 0 {
 		return 1
@@ -101,47 +104,43 @@
 	return min(1, w.from+(1-w.from)*max(0, now-w.since[s])/w.length)
 }
 
-func (w *Warmup) chill(s int, since, now float64) {
-	w.since[s], w.asOf[s] = since, now
-	// Against all relays spending their first link on it at the same moment.
-	w.tokens[s] = w.chance.Float64() * 0.8
-}
-
-// ready keeps one relay's part of the budget, so that no agreement is needed: links, weighed against the mean
-// one, come no faster than would fill what it can do now over its warm-up, split evenly over the relays.
-func (w *Warmup) ready(s int, now, fill, weight float64) bool {
-	part := w.part(s, now)
-	if part >= 1 {
-		return true
-	}
-	w.tokens[s] = min(1, w.tokens[s]+min(coldPace, w.multiple/2)*part*fill/w.length/w.relays*(now-w.asOf[s]))
-	w.asOf[s] = now
-	return w.tokens[s] >= min(1, weight)
-}
-
-// figure makes a load from a report: x0 is one already; the others are stand-ins, of which the busy part of
-// the cores is nearest. Against a lie: a figure that is no number, or negative, is no figure.
-func (p *Probing) figure(report []float64, weight float64) float64 {
-	best, rank := math.NaN(), len(standIns)
-	for i, name := range p.fields {
-		at := slices.Index(standIns[:], name)
-		if i >= len(report) || at < 0 || at >= rank {
+// allow draws the cold server that a link may go to, or -1. Against hundreds of relays that each spend a link
+// at once: over the time since the last link, the chance comes to this relay's part of what fills cold servers
+// over their warm-up, to an even share at most. Little is saved up, for the same reason.
+func (b *Balancer) allow(now float64, l *Link) int {
+	w := b.warmup
+	sum, cold, all, pick, least := 0.0, 0.0, 0.0, -1, math.Inf(1)
+	for s := range b.ids {
+		if b.condition[s] != Ready || !b.health.good(s) {
 			continue
 		}
-		if v := report[i]; v >= 0 && !math.IsInf(v, 1) {
-			best, rank = v, at
-			if name != "x0" && name != "cpu" && weight > 0 {
-				best /= weight
+		all++
+		if part := w.part(s, now); part < 1 {
+			cold, sum = cold+1, sum+part
+			if d := draw(b.mark(l), b.ids[s]) / part; d < least {
+				pick, least = s, d
 			}
 		}
 	}
-	return best
+	pace := min(1, w.multiple/2) * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
+	due := sum * pace * min(now-w.asked, w.span) / max(l.load/b.shares.loadMean, 0.1)
+	w.asked = now
+	if pick >= 0 && b.turns.chance.Float64() < min(due, cold/all) {
+		return pick
+	}
+	return -1
 }
 
-// standIns are the report fields a load can be read from, the best first.
-var standIns = [...]string{"x0", "cpu", "active", "rps", "waiting", "x1", "avg_ms"}
+// figure is a report's load: x0, or a stand-in. One that is no number, or negative, is none.
+func (p *Probing) figure(report []float64, weight float64) float64 {
+	if p.field >= len(report) || !(report[p.field] >= 0) || math.IsInf(report[p.field], 1) {
+		return math.NaN()
+	} else if p.absolute || weight <= 0 {
+		return report[p.field]
+	}
+	return report[p.field] / weight
+}
 
-// again tells whether another setup try is allowed at all now.
 func (e *Effects) again(l *Link, now float64) bool {
 	c := &e.categories[l.Category]
 	if l.tries >= e.mostTries || now >= l.Limit {
@@ -150,37 +149,36 @@
 	return l.ran < 0 || c.Effect == Replayable || (c.Effect == Referenced && now < l.ranAt+c.RepeatWindow)
 }
 
-// judge widens or halves how many set-ups may be out at once, by whether one stood in good time; one
-// sent before the last cut says nothing new. Against a wave on a shared store: set-ups queue there until they
-// time out, and all its work is wasted on links that were given up.
+// judge widens or halves how many set-ups may be out at once, by whether one stood in good time; one sent
+// before the last cut says nothing. Against a wave on a shared store, which then works for links given up.
+// All relays together start alike; under one it is a chance, as one set-up from each of hundreds is a wave.
 func (e *Effects) judge(l *Link, now float64, good bool) {
 	if good {
-		e.width = min(e.width+1/e.width, widest)
+		e.width = min(e.width+min(1/e.width, e.width), max(widest/e.relays, 1))
 	} else if l.sent > e.cutAt {
-		e.width, e.cutAt = max(e.width/2, 1), now
+		e.width, e.cutAt = max(e.width/2, 1/e.relays), now
 	}
 }
 
-// end gives the link up, at once. Against telling a client to repeat what may have run: then it is an error.
+func (e *Effects) let(chance *rand.Rand) bool {
+	return e.out < int(e.width) || (e.out == 0 && chance.Float64() < e.width)
+}
+
+// end gives the link up. Against telling a client to repeat what may have run: then it is an error.
 func (e *Effects) end(l *Link, now float64) Answer {
 	c := &e.categories[l.Category]
-	harmless := l.ran < 0 || c.Effect == Replayable ||
-		(c.Effect == Referenced && c.Scope == ScopeAll && now+e.maxBack < l.ranAt+c.RepeatWindow)
-	if !harmless {
-		return Answer{Verdict: Fail}
+	if l.ran < 0 || c.Effect == Replayable ||
+		(c.Effect == Referenced && c.Scope == ScopeAll && now+e.maxBack < l.ranAt+c.RepeatWindow) {
+		return Answer{Verdict: Reject, Wait: e.maxBack}
 	}
-	return Answer{Verdict: Reject, Wait: e.maxBack}
+	return Answer{Verdict: Fail}
 }
 
-// weigh learns what links of a category weigh.
 func (s *Shares) weigh(c int, load float64) {
 	s.weighed[c] = min(s.weighed[c]+1, 50)
 	s.loads[c] += (load - s.loads[c]) / s.weighed[c]
-	sum, n := 0.0, 0.0
-	for i, w := range s.weighed {
-		sum, n = sum+s.loads[i]*w, n+w
-	}
-	s.loadMean = sum / n
+	s.known = min(s.known+1, 200)
+	s.loadMean += (load - s.loadMean) / s.known
 }
 
 // expected is the load of a link not yet measured: its category's, drawn to the mean while few are known.
@@ -188,71 +186,77 @@
 	return (s.loads[c]*s.weighed[c] + s.loadMean*2) / (s.weighed[c] + 2)
 }
 
-// worth is the link's gain per load over the mean's, as it arrives.
 func (s *Shares) worth(l *Link) float64 {
 	gain, load := 0.0, 0.0
 	for i, n := range s.weighed {
 		gain, load = gain+(n+1)*s.categories[i].Gain, load+(n+1)*s.expected(i)
 	}
 	own := s.categories[l.Category].Gain
-	if l.Party < len(s.quotas) && s.quotas[l.Party] > 0 && s.held[l.Party]*s.relays > s.quotas[l.Party] {
-		own *= s.beyond
+	if l.Party < len(s.quotas) && s.quotas[l.Party] > 0 {
+		n := s.held[l.Party] // less its chance: one link would stand for as many as there are relays
+		if (n-math.Sqrt(n))*s.relays > s.quotas[l.Party] {
+			own *= s.beyond
+		}
 	}
 	return own / max(l.load, 1e-9) / (gain / load)
 }
 
 // Listed takes one entry.
-func (b *Balancer) Listed(now float64, id uint32, zone int, cond Condition, cell int, started, weight float64,
-) {
+func (b *Balancer) Listed(id uint32, zone int, cond Condition, cell int, started, weight float64) {
 	s, known := b.index[id]
-	if !known {
-		if cond == Gone {
-			return
-		}
+	if !known && cond == Gone {
+		return
+	} else if !known {
 		s = b.add(id)
 	}
 	if started > b.started[s] {
 		// A restart under the same id is a cold server: figures from before say nothing of it.
-		b.started[s] = started
-		b.warmup.chill(s, started, now)
-		b.probing.load[s] = math.NaN()
-		b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
-		b.health.failed[s] = 0
+		b.forget(s)
+		b.started[s], b.warmup.since[s], b.health.failed[s] = started, started, 0
 	}
 	b.condition[s], b.zones[s], b.cells[s], b.weights[s], b.mentioned[s] = cond, zone, cell, weight, true
 }
 
-// ListEnded closes the news. What whole news left out is gone.
+// ListEnded closes the news.
 func (b *Balancer) ListEnded(now float64) {
-	for s := range b.mentioned {
-		if b.whole && !b.mentioned[s] {
-			b.condition[s] = Gone
-		}
-	}
+	b.sweep()
 	b.turns.expire()
-	if b.heard { // the cached list at the start is no answer
-		b.askAt, b.failures = now+b.askWithin*askPart, 0
+	b.askAt, b.failures = now+b.silence(), 0
+	if !b.heard { // the cached list at the start is no answer
+		b.effects.asOf = now
+		b.askAt = now + b.turns.chance.Float64()*min(askSpread*(b.shares.relays-1), b.askWithin/2)
 	}
 	b.heard = true
 }
 
+// silence is when the list is asked anew. Against hundreds of relays drowning it: then it tells no drain.
+func (b *Balancer) silence() float64 { return max(b.askWithin*askPart, b.shares.relays*askRelay) }
+
 // ListFailed takes a failed call or a broken subscription.
 func (b *Balancer) ListFailed(now float64) {
-	b.failures = min(b.failures+1, 4)
-	b.askAt = now + float64(int(100)<<b.failures)*(0.5+b.turns.chance.Float64())
+	b.failures = min(b.failures+1, 6)
+	b.askAt = now + min(float64(int(100)<<b.failures)*(1+b.shares.relays/32), 3*b.askWithin)*
+		(0.5+b.turns.chance.Float64())
+}
+
+// spread is the part of the fleet that can be kept in use for what a link may cost in probes, and how often.
+func (b *Balancer) spread() (part, every float64) {
+	e, n := b.effects, max(float64(len(b.ids)), 1)
+	rate := (e.stood + 1) / (e.over + linkEvery*b.shares.relays/n)
+	every = max(probeEvery, n*b.probing.fee/(rate*probeShare))
+	return min(max(2-every/slowest, 0), 1), min(every, slowest)
 }
 
 // refresh rebuilds the table from the figures, when there is news and not sooner than reports can tell any.
 func (b *Balancer) refresh(now float64) {
-	if !b.turns.stale || now < b.turns.built+rebuildTime {
+	if !b.turns.stale || (now < b.turns.built+rebuildTime && b.part >= 1) {
 		return
 	}
-	sum, known, own := 0.0, 0.0, 0.0
-	b.ready = 0
+	sum, known, own, links, ready := 0.0, 0.0, 0.0, 0.0, 0.0
 	for s, c := range b.condition {
-		own += b.linkLoads[s]
+		own, links = own+b.linkLoads[s], links+float64(b.links[s])
 		if c == Ready && b.health.good(s) {
-			b.ready++
+			ready++
 			if !math.IsNaN(b.probing.load[s]) {
 				sum, known = sum+b.load(s), known+1
 			}
@@ -260,57 +264,102 @@
 	}
 	b.mean = sum / max(known, 1)
 	if sum > nearZero*known {
-		// The most seen, fading: a relay just restarted holds less than its part of the links, but one late
-		// report must not count for ever.
-		b.capacity = max(fading*b.capacity, own*b.shares.relays/sum*known/b.ready)
+		b.guessed = max(0.995*b.guessed, own*b.shares.relays/sum*known/ready) // a young relay holds too few
 	}
+	// The parties' shares tell for all relays what one with a handful of links can't guess from them.
+	faith := min(quotaFaith, b.shares.quota)
+	told := b.shares.quota / quotaPart / max(b.listed, 1) * b.shares.loadMean
+	b.capacity = (links*b.guessed + faith*told) / max(links+faith, 1)
 	for s, c := range b.condition {
 		b.turns.counts[s] = 0
-		if c == Ready && b.health.good(s) {
-			l := b.load(s)
-			if b.warmup.part(s, now) < 1 {
-				l = max(l, b.mean) // a cold server is idle because it is cold: no more than an even share
-			}
-			b.turns.counts[s] = buckets(l, b.mean)
+		if c == Ready && b.health.good(s) && (b.part >= 1 || now < b.probing.heardAt[s]+slowest) {
+			b.turns.counts[s] = buckets(b.load(s), b.mean)
 		}
 	}
 	b.turns.build(now)
 }
 
-// load is the server's figure with what this relay has put there since: against a wave of links inside one
-// probe interval, all of which would follow the same figure.
+// gather has the servers asked that a link is to be chosen among, and tells whether that is done. Against
+// hundreds of relays that each keep the whole fleet in use, at many times what a link may cost.
+func (b *Balancer) gather(now float64, l *Link) bool {
+	p := b.probing
+	if b.part, _ = b.spread(); !p.allowed || b.part >= 1 {
+		return true
+	}
+	if l.drafts == 0 {
+		b.draft(now, l)
+	}
+	return now >= l.patient || !slices.ContainsFunc(l.drafted, func(s int) bool {
+		return p.wanted[s] || !math.IsNaN(p.sentAt[s])
+	})
+}
+
+func (b *Balancer) draft(now float64, l *Link) {
+	p, old := b.probing, len(l.drafted)
+	if l.cold >= 0 && old == 0 {
+		l.drafted, old = append(l.drafted, l.cold), 1
+	}
+	want := int(max(min(drafted, probeShare/max(p.fee, 1e-9)), 1))
+	b.ranks = b.ranks[:0]
+	for s, id := range b.ids {
+		if b.condition[s] != Ready || s == l.server || b.warmup.part(s, now) < 1 || !b.sameScope(l, s) ||
+			(b.health.failed[s] > 0 && now < p.askedAt[s]+slowest) || slices.Contains(l.drafted[:old], s) {
+			continue
+		}
+		d := draw(b.mark(l), id)
+		if b.zones[s] != b.zone {
+			d *= 1 + farFee*b.crossing
+		}
+		if at, _ := slices.BinarySearch(b.ranks, d); at < want {
+			l.drafted, b.ranks = slices.Insert(l.drafted, old+at, s), slices.Insert(b.ranks, at, d)
+			l.drafted, b.ranks = l.drafted[:min(len(l.drafted), old+want)], b.ranks[:min(len(b.ranks), want)]
+		}
+	}
+	for _, s := range l.drafted {
+		p.want(s, now)
+	}
+	l.drafts, l.patient = l.drafts+1, min(now+patience*b.effects.categories[l.Category].PromisedTime, l.Limit)
+}
+
+// load is the server's figure with what was put there since: against a wave that all follows one late figure.
 func (b *Balancer) load(s int) float64 {
 	l := b.probing.load[s]
 	if math.IsNaN(l) {
 		l = b.mean
 	}
-	if b.capacity > 0 {
-		l += b.probing.fresh[s] * (1 + othersPart*(b.shares.relays-1)) / b.capacity
-	}
-	return l
+	others := b.shares.relays - 1
+	return l + b.probing.fresh[s]*(1+othersPart*others/(1+others/herd))/cmp.Or(b.capacity, math.Inf(1))
 }
 
 // Place says where to send this link, or not yet, or never.
 func (b *Balancer) Place(now float64, l *Link) Answer {
 	if !l.known {
-		l.known, l.came, l.ran, l.server = true, now, -1, -1
+		l.known, l.came, l.ran, l.server, l.lot = true, now, -1, -1, b.turns.chance.Uint64()
 		b.guess(l)
+		l.cold = b.allow(now, l)
 	}
 	if !b.effects.again(l, now) {
 		return b.effects.end(l, now)
 	}
 	s, until := -1, l.came+holdPart*(l.Limit-l.came)
-	if b.effects.out < int(b.effects.width) {
+	if l.drafts > 0 || b.effects.let(b.turns.chance) {
+		if !b.gather(now, l) {
+			return Answer{Verdict: Hold, Wait: l.patient - now}
+		}
 		b.refresh(now)
-		var crowded bool
-		if s, crowded = b.choose(l, now); crowded {
+		full := false
+		if s, full = b.choose(l, now); s < 0 && b.part < 1 && l.drafts < drafts && now < until {
+			b.draft(now, l)
+			return Answer{Verdict: Hold, Wait: l.patient - now}
+		}
+		if full {
 			until = now
 		}
+		l.drafts, l.drafted = 0, l.drafted[:0]
 	}
-	if s < 0 {
-		if now+holdStep < until {
-			return Answer{Verdict: Hold, Wait: holdStep}
-		}
+	if s < 0 && now+holdStep < until {
+		return Answer{Verdict: Hold, Wait: holdStep}
+	} else if s < 0 {
 		return b.effects.end(l, now)
 	}
 	b.effects.out++
@@ -318,18 +367,15 @@
 	b.book(l)
 	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
 	b.probing.fresh[s] += l.load
-	if b.warmup.part(s, now) < 1 {
-		b.warmup.tokens[s] -= l.load / b.shares.loadMean
-	}
 	// All the time that is left: a try cut short on a slow store leaves its work there, and asks for more.
 	return Answer{Verdict: Send, Backend: b.ids[s], Timeout: l.Limit - now, Round: l.tries - 1}
 }
 
-// guess is a link's load until a note tells: what its key weighed last, the client's hint, or its category's.
-// The first is against a heavy link that one server shed being taken for a usual one by the next, and so on.
+// guess is a link's load until a note tells: what its key weighed last, against a heavy link that one server
+// sheds tipping the next; the client's hint; or its category's.
 func (b *Balancer) guess(l *Link) {
 	if past, ok := b.shares.ended.find(l.Key); ok {
-		l.load = past.load
+		l.load = past
 	} else if l.load = l.Hint; l.load > 0 {
 		b.shares.weigh(l.Category, l.load)
 		l.measured = true
@@ -338,65 +384,46 @@
 	}
 }
 
-// choose walks the turns over the servers that count as ready for this link; crowded tells that some are
-// there, but have no room for it.
 func (b *Balancer) choose(l *Link, now float64) (int, bool) {
 	avoid := l.server
-	fill := b.capacity / b.shares.loadMean
 	open := func(s int) bool {
 		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
-			b.warmup.ready(s, now, fill, l.load/b.shares.loadMean)
-	}
-	// A link that flows goes on only where it was.
-	past, ok := b.shares.ended.find(l.Key)
-	if ok && l.MidFlow && l.tries == 0 && b.condition[past.server] == Ready {
-		return past.server, false
+			(s == l.cold && l.tries == 0 || b.warmup.part(s, now) >= 1)
 	}
 	bound := room + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
-	weight := 0.0
-	if b.capacity > 0 {
-		weight = l.load / b.capacity
+	bounds := [...]float64{nearLoad + nearFee*b.crossing, max(calmLoad, b.mean), bound, bound}
+	if !b.probing.absolute {
+		bound = crowded * max(b.mean, nearZero)
+		bounds = [...]float64{bound, bound, bound, bound}
 	}
-	below := func(s int, bound float64) bool {
-		if !b.probing.absolute {
-			return open(s) && b.load(s) <= 1.5*max(b.mean, nearZero)
-		}
-		return open(s) && b.load(s)+weight < bound
+	weight := l.load / cmp.Or(b.capacity, math.Inf(1)) // nothing, while nothing is known
+	if l.cold >= 0 && b.turns.counts[l.cold] > 0 && open(l.cold) && b.load(l.cold)+weight < bound {
+		return l.cold, false
 	}
-	near := func(s int) bool { return b.zones[s] == b.zone && below(s, min(nearLoad+nearFee*b.crossing, bound)) }
-	calm := func(s int) bool { return below(s, min(max(calmLoad, b.mean), bound)) }
-	fits := func(s int) bool { return below(s, bound) }
-	for i, may := range [...]func(int) bool{near, calm, fits, fits} {
-		if i == 0 && b.crossing <= 0 {
-			continue
-		}
+	for i, limit := range bounds {
 		if i == 3 {
 			avoid = -1
 		}
-		if s := b.turn(l, may); s >= 0 {
+		if s := b.turn(l, func(s int) bool {
+			return (i > 0 || (b.crossing > 0 && b.zones[s] == b.zone)) && open(s) &&
+				b.load(s)+weight < min(limit, bound)
+		}); s >= 0 {
 			return s, false
 		}
 	}
 	return -1, b.turns.next(open) >= 0
 }
 
-// turn takes the next bucket that may have the link. A link of a group takes the bucket that its group draws:
-// each server still has chances by its buckets, but all relays draw alike, so the shared work is paid once.
-// So does a link that may reach another relay mid-flow, which then finds its server.
+// turn takes the next bucket that may have the link, or the one that its group draws with the same chances:
+// all relays draw alike, so shared work is paid once, and a link mid-flow finds its server.
 func (b *Balancer) turn(l *Link, may func(int) bool) int {
-	mark := uint64(0)
-	if b.grouped {
-		mark = l.Group
-	} else if b.passing {
-		mark = l.Key
-	}
-	if mark == 0 {
+	if !b.grouped && !b.passing {
 		return b.turns.next(may)
 	}
 	best, least := -1, math.Inf(1)
 	for s, n := range b.turns.counts {
 		if n > 0 && may(s) {
-			if d := draw(mark, b.ids[s]) / float64(n); d < least {
+			if d := draw(b.mark(l), b.ids[s]) / float64(n); d < least {
 				best, least = s, d
 			}
 		}
@@ -404,56 +431,51 @@
 	return best
 }
 
-// draw is an exponential chance that depends on nothing but the mark and the server.
-func draw(mark uint64, id uint32) float64 {
-	x := mark ^ uint64(id)*0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return -math.Log((float64((x^x>>31)>>11) + 0.5) / (1 << 53))
+func (b *Balancer) mark(l *Link) uint64 {
+	if b.grouped && l.Group != 0 {
+		return l.Group
+	} else if b.passing && !b.grouped && l.Key != 0 {
+		return l.Key
+	}
+	return l.lot
 }
 
 // sameScope keeps a referenced link that may have run where its repeat is dropped.
 func (b *Balancer) sameScope(l *Link, s int) bool {
 	c := &b.effects.categories[l.Category]
-	if l.ran < 0 || c.Effect == Replayable || c.Scope == ScopeAll {
-		return true
-	}
-	if c.Scope == ScopeZone {
-		return b.zones[s] == l.ranZone
-	}
-	return b.cells[s] == l.ranCell
+	return l.ran < 0 || c.Effect == Replayable || c.Scope == ScopeAll ||
+		(c.Scope == ScopeZone && b.zones[s] == l.ranZone) || (c.Scope == ScopeCell && b.cells[s] == l.ranCell)
 }
 
-// After says what to do after the outcome of a setup try, or of the link that it set up. Last tells that the
-// link is over with it.
+// After says what to do after the outcome of a setup try, or of its link; with last, all is over.
 func (b *Balancer) After(now float64, l *Link, outcome Outcome, last bool) Answer {
 	if !l.out {
 		return Answer{}
 	}
 	s := l.server
 	l.out = false
-	if !l.open {
-		b.effects.out--
-	}
 	b.unbook(l)
 	if l.open && l.measured && l.Key != 0 && outcome != Satisfied {
-		b.shares.ended.keep(now, keyMemory, l.Key, left{l.load, s})
+		b.shares.ended.keep(now, keyMemory, l.Key, l.load)
 	}
 	switch {
 	case outcome == Broken && l.open && b.health.failed[s] > 0:
 		b.health.lost[s] = true
 	case outcome == Unreachable:
-		b.doubt(s)
+		b.health.failed[s]++
+		b.turns.expire()
 	case outcome == Satisfied && !l.open: // an answer that is no stream
 		b.stood(now, l)
-	case outcome == TimedOut && !l.open:
-		// Against a slow shared store, which times out set-ups everywhere: only the server's own probe tells.
-		b.probing.askedAt[s] = min(b.probing.askedAt[s], now-b.interval())
+	case outcome == TimedOut:
+		b.probing.askedAt[s] = math.Inf(-1) // a slow shared store times out everywhere: only its probe tells
 	}
 	// A server that is silent itself says nothing of the store: against a cut zone being taken for a storm.
 	if !l.open && (outcome == Errored || outcome == TimedOut) && b.health.failed[s] == 0 {
 		b.effects.judge(l, now, false)
 	}
+	if !l.open {
+		b.effects.out--
+	}
 	if last || l.open || l.gone {
 		return Answer{}
 	}
@@ -463,17 +485,8 @@
 	return b.Place(now, l)
 }
 
-// doubt counts a failure, which also brings the next probe soon.
-func (b *Balancer) doubt(s int) {
-	b.health.failed[s]++
-	b.turns.expire()
-}
-
 func (b *Balancer) stood(now float64, l *Link) {
 	e := b.effects
-	if e.asOf == 0 {
-		e.asOf = now - probeEvery
-	}
 	fade := math.Exp((e.asOf - now) / tryMemory)
 	e.stood, e.over, e.asOf = e.stood*fade+1, e.over*fade+now-e.asOf, now
 	b.health.failed[l.server] = 0
@@ -498,17 +511,17 @@
 	}
 	b.probing.sentAt[s] = math.NaN()
 	if !ok {
-		b.doubt(s)
+		b.health.failed[s]++
+		b.turns.expire()
 		return
 	}
 	if b.health.lost[s] {
-		b.health.lost[s] = false
-		b.warmup.chill(s, now, now)
+		b.health.lost[s], b.warmup.since[s] = false, now
 	}
-	if !b.health.good(s) {
+	if b.health.failed[s] > 0 {
+		b.health.failed[s] = 0
 		b.turns.expire()
 	}
-	b.health.failed[s] = 0
 	b.Reported(now, id, report)
 }
 
@@ -520,12 +533,11 @@
 	}
 	p := b.probing
 	if f := p.figure(report, b.weights[s]); !math.IsNaN(f) {
-		// Up at once, down by parts: a link is placed for life, so against a neighbour program that
-		// comes and goes, or loads that swing, the busy moments count.
+		// Up at once, down by parts: a link stays for life, so the busy moments of what comes and goes count.
 		if f < p.load[s] {
-			f = p.load[s] + easing*(f-p.load[s])
+			f += (p.load[s] - f) * math.Pow(1-easing, (now-p.heardAt[s])/probeEvery)
 		}
-		p.load[s] = f
+		p.load[s], p.heardAt[s] = f, now
 	}
 	p.fresh[s] = 0
 	p.since[s] = slices.DeleteFunc(p.since[s], func(x placed) bool { return x.at < now-reportLag })
@@ -535,15 +547,6 @@
 	b.turns.stale = true
 }
 
-// interval weighs what probes cost, a link, against how old figures may get.
-func (b *Balancer) interval() float64 {
-	n := float64(len(b.ids))
-	if b.effects.stood == 0 {
-		return probeEvery
-	}
-	return min(max(probeEvery, n*b.probing.fee*b.effects.over/(b.effects.stood*probeShare)), slowest)
-}
-
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
 func (b *Balancer) Next(now float64) Due {
 	d := Due{Wait: math.Inf(1)}
@@ -551,33 +554,32 @@
 		d.Wait = b.askAt - now
 	}
 	if d.Wait <= 0 {
-		// Against a subscription that died without a word: its silence is counted, well inside the time after
-		// which this relay counts as told of all that it missed.
-		b.askAt = now + b.askWithin*askPart
+		// Against a subscription that died without a word: its silence is counted.
+		b.askAt = now + b.silence()
 		return Due{Subscribe: true}
 	}
-	if !b.probing.allowed {
+	p := b.probing
+	if s := p.pop(); s >= 0 {
+		return b.ask(now, s)
+	}
+	part, every := b.spread()
+	if !p.allowed || part == 0 {
 		return d
 	}
-	every := b.interval()
 	for s, c := range b.condition {
-		if c != Ready || !math.IsNaN(b.probing.sentAt[s]) {
+		if c != Ready || p.lots[s] >= part || !math.IsNaN(p.sentAt[s]) {
 			continue
 		}
-		if math.IsInf(b.probing.askedAt[s], -1) {
-			// Against all relays asking all servers at the same moment, and against a young relay that is blind.
-			b.probing.askedAt[s] = now + b.turns.chance.Float64()*retryProbe - every
+		if math.IsInf(p.askedAt[s], -1) {
+			// Against all relays asking all servers at one moment, and against a young relay that is blind.
+			p.askedAt[s] = now + b.turns.chance.Float64()*retryProbe - every
 		}
-		wait := b.probing.askedAt[s] + every - now
+		wait := p.askedAt[s] + every*(0.9+0.2*p.lots[s]) - now // so that probes come to stand apart
 		if b.health.failed[s] > 0 {
-			wait -= every - retryProbe
+			wait = p.askedAt[s] + retryProbe - now
 		}
 		if wait <= 0 {
-			b.probing.askedAt[s], b.probing.sentAt[s] = now, now
-			if math.IsNaN(b.probing.load[s]) {
-				b.probing.askedAt[s] -= b.turns.chance.Float64() * every // so that later probes stand apart
-			}
-			return Due{Probing: true, Probe: b.ids[s]}
+			return b.ask(now, s)
 		}
 		d.Wait = min(d.Wait, wait)
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -172,13 +172,13 @@
 		name string
 		tell func(b *Balancer)
 	}{
-		{"draining", func(b *Balancer) { b.ListBegan(start, false); b.Listed(start, 1, 0, Draining, 0, 0, 1) }},
-		{"gone", func(b *Balancer) { b.ListBegan(start, false); b.Listed(start, 1, 0, Gone, 0, 0, 1) }},
-		{"left out", func(b *Balancer) { b.ListBegan(start, true); b.Listed(start, 2, 1, Ready, 1, 0, 1) }},
+		{"draining", func(b *Balancer) { b.ListBegan(start, false); b.Listed(1, 0, Draining, 0, 0, 1) }},
+		{"gone", func(b *Balancer) { b.ListBegan(start, false); b.Listed(1, 0, Gone, 0, 0, 1) }},
+		{"left out", func(b *Balancer) { b.ListBegan(start, true); b.Listed(2, 1, Ready, 1, 0, 1) }},
 		{"never listed", func(b *Balancer) {
 			b.ListBegan(start, false)
-			b.Listed(start, 9, 0, Gone, 0, 0, 1)
-			b.Listed(start, 1, 0, Gone, 0, 0, 1)
+			b.Listed(9, 0, Gone, 0, 0, 1)
+			b.Listed(1, 0, Gone, 0, 0, 1)
 		}},
 	} {
 		b := fleet{Loads: []float64{0.1, 0.4}}.build(t)
@@ -192,29 +192,81 @@
 	}
 }
 
-// Against all relays' even shares on an idle, cold server: each relay alone keeps its part of the budget.
+// Against all relays' even shares on an idle, cold server, and against each of hundreds spending one link on it at
+// once: what all send together, in a wave too, stays under what it can take.
 func TestWarmupBudget(t *testing.T) {
-	for _, relays := range []int{1, 4} {
-		b := fleet{Loads: []float64{0.4, 0.4, 0.4, 0}, Cold: start, Relays: relays}.build(t)
-		sent, all := 0.0, 0.0
-		for now := start; now < start+5000; now += 100 {
-			if a := b.Place(now, arrive(now)); a.Verdict == Send {
-				all++
-				if a.Backend == 4 {
-					sent++
+	for _, c := range []struct {
+		name          string
+		relays, links int
+		span          float64
+	}{
+		{"one relay, steady", 1, 300, 20000},
+		{"four relays, steady", 4, 100, 20000},
+		{"hundreds, few links each", 220, 3, 20000},
+		{"hundreds, a wave at the start", 220, 3, 600},
+	} {
+		times := map[int]float64{}
+		for r := range c.relays {
+			b := fleet{Loads: []float64{0.4, 0.4, 0.4, 0}, Cold: start, Relays: c.relays, Seed: int64(r)}.build(t)
+			b.refresh(start)
+			for i := range c.links {
+				now := start + c.span*(float64(i)+b.turns.chance.Float64())/float64(c.links)
+				l := arrive(now)
+				b.Place(now, l)
+				if l.cold == 3 {
+					times[int((now-start)/2000)]++
 				}
 			}
 		}
-		// Capacity, as links a span: what a warm server takes over its load.
-		capacity := all * float64(relays) / 4 / 0.3
-		assert.LessOrEqual(t, sent*float64(relays), 3*0.36*capacity+float64(relays), relays)
+		fill := 1000.0 / quotaPart / 4 // by the quotas of the helper's parties
+		for window, sent := range times {
+			part := 0.2 + 0.8*float64(window)*2000/20000
+			assert.LessOrEqual(t, sent, 3*part*fill/20000*2000+2, "%s, window %d", c.name, window)
+		}
+	}
+}
+
+// Against hundreds of relays that each keep a whole fleet in use: a link has a few servers asked as it comes, and
+// goes to one that answered.
+func TestLinksAskAsTheyCome(t *testing.T) {
+	for seed := range int64(10) {
+		b := fleet{Loads: make([]float64, 60), Relays: 220, Seed: seed}.build(t)
+		now, l, asked := start+20000, arrive(start+20000), []uint32(nil)
+		require.Equal(t, Hold, b.Place(now, l).Verdict)
+		for d := b.Next(now); d.Probing; d = b.Next(now) {
+			asked = append(asked, d.Probe)
+		}
+		require.Len(t, asked, drafted)
+		assert.Equal(t, Hold, b.Place(now+1, l).Verdict, "answers are waited for")
+		b.Probed(now+2, asked[2], true, []float64{0, 0.3})
+		a := b.Place(now+40, l)
+		assert.Equal(t, Send, a.Verdict, "but not for long")
+		assert.Equal(t, asked[2], a.Backend, "silent servers are not used")
+	}
+}
+
+// Against a fleet that answers no probes being asked ever faster, by relays that know of no load.
+func TestSilentFleetIsNotHammered(t *testing.T) {
+	for _, relays := range []int{1, 30, 220} {
+		b := fleet{Loads: make([]float64, 20), Relays: relays}.build(t)
+		for s := range b.ids {
+			b.forget(s)
+		}
+		asked := 0
+		for now := start; now < start+10000; now += 10 {
+			for d := b.Next(now); d.Probing; d = b.Next(now) {
+				asked++
+				b.Probed(now, d.Probe, false, nil)
+			}
+		}
+		assert.LessOrEqual(t, asked, 20*35, relays)
 	}
 }
 
 func TestRestartIsCold(t *testing.T) {
 	b := fleet{Loads: []float64{0.4, 0.4}}.build(t)
 	b.ListBegan(start+10, false)
-	b.Listed(start+10, 1, 0, Ready, 0, start+5, 1)
+	b.Listed(1, 0, Ready, 0, start+5, 1)
 	b.ListEnded(start + 10)
 	assert.True(t, math.IsNaN(b.probing.load[0]))
 	assert.Less(t, b.warmup.part(0, start+10), 0.21)
@@ -296,6 +348,17 @@
 		assert.Equal(t, float64(c.want), b.effects.width, c.name)
 		assert.LessOrEqual(t, sent, c.want, c.name)
 	}
+	crowd := fleet{Loads: []float64{0.3}, Relays: 220}.build(t)
+	for i := range 8 {
+		crowd.effects.judge(&Link{sent: start + float64(i)}, start+float64(i)+0.5, false)
+	}
+	out := 0
+	for range 300 {
+		if crowd.effects.let(crowd.turns.chance) {
+			out++
+		}
+	}
+	assert.Less(t, out, 20, "one set-up from each of hundreds is a wave, too")
 	b := fleet{Loads: []float64{0.3}}.build(t)
 	b.effects.width = 1
 	for i := range 20 {
@@ -323,7 +386,7 @@
 
 // A fleet without room: the link of more gain per load still finds room, the other is sent back at once.
 func TestRoomGoesToTheGainPerLoad(t *testing.T) {
-	b := fleet{Loads: []float64{0.7, 0.7, 0.7}, MaxBack: 900}.build(t)
+	b := fleet{Loads: []float64{0.73, 0.73, 0.73}, MaxBack: 900}.build(t)
 	for i := range 30 {
 		l := arrive(start - 5000)
 		l.Category = i % 2
@@ -381,6 +444,26 @@
 	assert.True(t, b.Next(start+10000).Subscribe, "silence is counted")
 }
 
+// Against hundreds of relays drowning a list of fixed capacity.
+func TestListIsAskedForByTurns(t *testing.T) {
+	soon, again := 0, 0
+	for seed := range int64(220) {
+		b := fleet{Asked: true, Loads: []float64{0.3}, Relays: 220, Seed: seed}.build(t)
+		if b.Next(start + 500).Subscribe {
+			soon++
+		}
+		b.ListFailed(start + 5000)
+		if b.Next(start + 5500).Subscribe {
+			again++
+		}
+		b.ListBegan(start+6000, false)
+		b.ListEnded(start + 6000)
+		assert.False(t, b.Next(start+60000).Subscribe, "its silence is counted by the number of relays")
+	}
+	assert.Less(t, soon, 60)
+	assert.Less(t, again, 60)
+}
+
 func TestProbesKeepToTheBound(t *testing.T) {
 	b := fleet{Loads: []float64{0.3, 0.3}}.build(t)
 	last := map[uint32]float64{}
--- a/logic/types.go
+++ b/logic/types.go
@@ -67,7 +67,6 @@
 	Key, Group      uint64
 	Limit           float64 // clock time by which its final answer is due
 	Hint            float64 // load expected, microseconds of work a second; 0 where unknown
-	MidFlow         bool    // its packets flowed through another relay until now
 
 	load      float64 // what it is held to weigh on its server now
 	server    int     // of its latest setup try
@@ -82,6 +81,12 @@
 	known     bool // to Place
 	open, out bool
 	gone      bool
+
+	lot     uint64  // its own mark, where no group or key draws it
+	cold    int     // the cold server that it may go to, or -1
+	drafted []int   // servers asked for it
+	drafts  int     // how often some were drawn
+	patient float64 // clock time until which their answers are waited for
 }
 
 // Verdict is the kind of an answer.
@@ -165,25 +170,23 @@
 // Warmup is the budget of what a server just started is sent.
 type Warmup struct {
 	from, length, multiple float64
-	relays                 float64
-	chance                 *rand.Rand
+	span, relays           float64
 
-	since  []float64 // when it started cold, or -Inf
-	tokens []float64
-	asOf   []float64
+	since []float64 // when it started cold, or -Inf
+	asked float64   // when a link last asked for a cold server
 }
 
 // NewWarmup takes the part of its capacity a server starts at, when it is warm, the multiple of its present
-// capacity at which it falls, and how many relays send.
-func NewWarmup(from, length, multiple float64, relays int, chance *rand.Rand) *Warmup {
-	return &Warmup{from: from, length: length, multiple: multiple, relays: float64(relays), chance: chance}
+// capacity at which it falls and in what span, and how many relays send.
+func NewWarmup(from, length, multiple, span float64, relays int) *Warmup {
+	return &Warmup{from: from, length: length, multiple: multiple, span: span, relays: float64(relays)}
 }
 
 // Probing asks servers for their load and keeps what they said.
 type Probing struct {
 	allowed bool
 	fee     float64
-	fields  []string
+	field   int // of a report, that the load is read from
 	// absolute loads are parts of a capacity, so that bounds on them mean something.
 	absolute bool
 	fresh    []float64
@@ -191,13 +194,54 @@
 	load    []float64 // NaN: no figure
 	sentAt  []float64 // of the probe that is out, or NaN
 	askedAt []float64
+	heardAt []float64
+	lots    []float64  // in use where the part of the fleet in use is above it
+	wanted  []bool     // for a link
+	queue   []int      // of those wanted
 	since   [][]placed // links of this relay that the figure may not hold yet
 }
 
 // NewProbing takes whether probes may be sent, the fee for one a link, and the names of the report's fields.
 func NewProbing(allowed bool, fee float64, fields []string) *Probing {
-	return &Probing{allowed: allowed, fee: fee, fields: fields,
-		absolute: slices.Contains(fields, "x0") || slices.Contains(fields, "cpu")}
+	p := &Probing{allowed: allowed, fee: fee, field: math.MaxInt}
+	for rank, name := range [...]string{"x0", "cpu", "active", "rps", "waiting", "x1", "avg_ms"} {
+		if i := slices.Index(fields, name); i >= 0 {
+			p.field, p.absolute = i, rank < 2
+			break
+		}
+	}
+	return p
+}
+
+// want has the server asked, unless that is done or its figure is new.
+func (p *Probing) want(s int, now float64) {
+	if !p.wanted[s] && math.IsNaN(p.sentAt[s]) && now >= p.heardAt[s]+probeEvery {
+		p.wanted[s], p.queue = true, append(p.queue, s)
+	}
+}
+
+// pop takes the next that is wanted, or -1.
+func (p *Probing) pop() int {
+	if len(p.queue) == 0 {
+		return -1
+	}
+	s := p.queue[len(p.queue)-1]
+	p.queue, p.wanted[s] = p.queue[:len(p.queue)-1], false
+	return s
+}
+
+// ask notes that the server is asked now.
+func (b *Balancer) ask(now float64, s int) Due {
+	b.probing.askedAt[s], b.probing.sentAt[s] = now, now
+	return Due{Probing: true, Probe: b.ids[s]}
+}
+
+// draw is an exponential chance that depends on nothing but the mark and the server.
+func draw(mark uint64, id uint32) float64 {
+	x := mark ^ uint64(id)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return -math.Log((float64((x^x>>31)>>11) + 0.5) / (1 << 53))
 }
 
 type placed struct{ at, load float64 }
@@ -210,12 +254,15 @@
 
 	stood, over, asOf float64 // links that stood and the time of it, fading
 	width, cutAt      float64 // how many set-ups may be out at once
+	relays            float64
 	out               int
 }
 
-// NewEffects takes the categories, the most setup tries of a link and the longest retry-after (0: none).
-func NewEffects(categories []Category, mostTries int, maxBack float64) *Effects {
-	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack, width: widest}
+// NewEffects takes the categories, the most setup tries of a link, the longest retry-after (0: none) and the
+// number of relays.
+func NewEffects(categories []Category, mostTries int, maxBack float64, relays int) *Effects {
+	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack, relays: float64(relays),
+		width: max(widest/float64(relays), 1)}
 }
 
 // Shares values links: gain per load, less beyond a party's share.
@@ -224,19 +271,24 @@
 	quotas     []float64 // links open in each party's share, for all relays together; 0: no share
 	beyond     float64
 	relays     float64
+	quota      float64 // of all parties
 
 	held     []float64 // links open, a party
 	loads    []float64 // mean load of a category's links, as far as known
 	weighed  []float64 // how many links that mean stands on
 	loadMean float64
+	known    float64 // and that of all
 	ended    memory
 }
 
 // NewShares takes categories, the parties' quotas of open links, what gain beyond a share is worth, and the
 // number of relays.
 func NewShares(categories []Category, quotas []float64, beyond float64, relays int) *Shares {
-	n := len(categories)
-	return &Shares{categories: categories, quotas: quotas, beyond: beyond, relays: float64(relays),
+	n, quota := len(categories), 0.0
+	for _, q := range quotas {
+		quota += q
+	}
+	return &Shares{categories: categories, quotas: quotas, quota: quota, beyond: beyond, relays: float64(relays),
 		held: make([]float64, len(quotas)), loads: make([]float64, n), weighed: make([]float64, n),
 		loadMean: 1}
 }
@@ -259,8 +311,11 @@
 	links     []int
 	weights   []float64
 	mean      float64
-	ready     float64
+	guessed   float64 // capacity of a server, by what this relay's own links weigh
 	capacity  float64
+	listed    float64 // servers ready when the shares were told
+	part      float64 // of the fleet that is in use
+	ranks     []float64
 }
 
 // New joins the parts. Zone is the relay's own; crossing is the fee for crossing zones; grouped,
@@ -284,9 +339,10 @@
 		b.cells, b.started, b.mentioned = append(b.cells, 0), append(b.started, 0), append(b.mentioned, false)
 		h, w, p := &b.health, b.warmup, b.probing
 		h.failed, h.lost = append(h.failed, 0), append(h.lost, false)
-		w.since, w.tokens, w.asOf = append(w.since, never), append(w.tokens, 0), append(w.asOf, 0)
+		w.since = append(w.since, never)
 		p.load, p.sentAt, p.askedAt = append(p.load, nan), append(p.sentAt, nan), append(p.askedAt, never)
 		p.since, p.fresh = append(p.since, nil), append(p.fresh, 0)
+		p.heardAt, p.wanted, p.lots = append(p.heardAt, never), append(p.wanted, false), append(p.lots, 0)
 		b.linkLoads, b.links = append(b.linkLoads, 0), append(b.links, 0)
 		b.weights, b.turns.counts = append(b.weights, 1), append(b.turns.counts, 0)
 	}
@@ -294,11 +350,29 @@
 	b.index[id], b.ids[s] = s, id
 	b.health.failed[s], b.health.lost[s] = 0, false
 	b.warmup.since[s], b.started[s] = never, 0
-	b.probing.load[s], b.probing.sentAt[s], b.probing.askedAt[s] = nan, nan, never
-	b.probing.since[s], b.probing.fresh[s] = b.probing.since[s][:0], 0
+	b.probing.sentAt[s], b.probing.askedAt[s], b.probing.lots[s] = nan, never, b.turns.chance.Float64()
+	b.forget(s)
 	return s
 }
 
+// sweep takes out what whole news left out, and counts the first list.
+func (b *Balancer) sweep() {
+	for s := range b.mentioned {
+		if b.whole && !b.mentioned[s] {
+			b.condition[s] = Gone
+		}
+		if !b.heard && b.condition[s] == Ready {
+			b.listed++
+		}
+	}
+}
+
+// forget drops the server's figures.
+func (b *Balancer) forget(s int) {
+	p := b.probing
+	p.load[s], p.heardAt[s], p.since[s], p.fresh[s] = math.NaN(), math.Inf(-1), p.since[s][:0], 0
+}
+
 func (b *Balancer) book(l *Link) {
 	b.links[l.server]++
 	b.linkLoads[l.server] += l.load
@@ -324,23 +398,18 @@
 // memory keeps what a link that ended left behind, by key, as its client comes again. It has two halves, the
 // older dropped whole, so that it stays bounded.
 type memory struct {
-	recent, older map[uint64]left
+	recent, older map[uint64]float64
 	turned        float64
 }
 
-type left struct {
-	load   float64
-	server int
-}
-
-func (m *memory) keep(now, span float64, key uint64, l left) {
+func (m *memory) keep(now, span float64, key uint64, load float64) {
 	if m.recent == nil || now > m.turned+span {
-		m.recent, m.older, m.turned = map[uint64]left{}, m.recent, now
+		m.recent, m.older, m.turned = map[uint64]float64{}, m.recent, now
 	}
-	m.recent[key] = l
+	m.recent[key] = load
 }
 
-func (m *memory) find(key uint64) (left, bool) {
+func (m *memory) find(key uint64) (float64, bool) {
 	l, ok := m.recent[key]
 	if !ok {
 		l, ok = m.older[key]
