--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	crowded    = 1.5     // times the mean, above which a server has no room where loads are parts of nothing
 	calmLoad   = 0.45    // below this, no server sits turns out for being busier than the mean
 	room       = 0.80    // above this a link of the mean gain per load finds no room
+	roomBlind  = 0.15    // less where links ask as they come: what others place between is not seen
 	roomSpread = 0.08    // how far gain per load moves that bound
 	quotaPart  = 0.8     // of what the fleet holds, that the parties' shares come to
 	quotaFaith = 20.0    // links of its own, from which a relay trusts their load as much as the shares
@@ -122,7 +123,7 @@
 			}
 		}
 	}
-	pace := min(1, w.multiple/2) * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
+	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
 	due := sum * pace * min(now-w.asked, w.span) / max(l.load/b.shares.loadMean, 0.1)
 	w.asked = now
 	if pick >= 0 && b.turns.chance.Float64() < min(due, cold/all) {
@@ -390,7 +391,7 @@
 		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
 			(s == l.cold && l.tries == 0 || b.warmup.part(s, now) >= 1)
 	}
-	bound := room + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
+	bound := room - roomBlind*(1-b.part) + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
 	bounds := [...]float64{nearLoad + nearFee*b.crossing, max(calmLoad, b.mean), bound, bound}
 	if !b.probing.absolute {
 		bound = crowded * max(b.mean, nearZero)
