A link shed soon after it stood narrows the set-ups to a sixteenth

Told from a slow store: set-ups stood in 30 to 100 ms, and what failed had stood. Told from plain overload: servers read between 0.0 and 1.7 at once, their median under 0.9.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,12 +1,10 @@
 // Package logic decides for one relay where each new link goes, by weighted turns whose bucket counts follow
-// probed load. A link that stands keeps its server for life.
-//
-// Callers use it like a client library, one Balancer a relay, never shared. Three calls answer: Place (where
-// to send this link, or not yet, or never), After (what to do after this outcome) and Next (how long to wait,
-// and the probe or subscription due; asked until it names none). What is seen comes in by ListBegan, Listed,
-// ListEnded, ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished. Plain types and their
-// bookkeeping are in types.go; the interface is the exported methods of Balancer. New takes each part with
-// its own settings. Times are milliseconds on the caller's clock.
+// probed load. A link that stands keeps its server for life. Callers use it like a client library, one Balancer
+// a relay, never shared. Three calls answer: Place (where to send this link, or not yet, or never), After (what
+// to do after this outcome) and Next (how long to wait, and the probe or subscription due; asked until it names
+// none). What is seen comes in by ListBegan, Listed, ListEnded, ListFailed, Probed, Reported, Accepted, Weighed,
+// Resumed and Vanished. Plain types and bookkeeping are in types.go; the interface is the exported methods of
+// Balancer. Times are milliseconds on the caller's clock.
 package logic
 
 import (
@@ -51,12 +49,14 @@
 	tryMemory  = 10000.0 // over which links that stand are counted
 	easing     = 0.3     // of the way down that a load moves in the time of one report
 	holdStep   = 50.0
-	holdPart   = 0.5    // of its time, that a link may wait for a server or for a set-up before it to end
-	widest     = 64.0   // set-ups out at once, of all relays
-	timely     = 0.5    // of the promised time, within which a set-up shows that no store is overrun
-	askPart    = 0.8    // of the time after which silence counts as told
-	askRelay   = 1000.0 // between two relays' asking of the list anew
-	askSpread  = 20.0   // between two relays' first asking
+	holdPart   = 0.5      // of its time, that a link may wait for a server or for a set-up before it to end
+	widest     = 64.0     // set-ups out at once, of all relays
+	shedSoon   = 5000.0   // a link that breaks within this was shed by a server too full for it
+	shedPart   = 1.0 / 16 // of the set-ups out at once, then
+	timely     = 0.5      // of the promised time, within which a set-up shows that no store is overrun
+	askPart    = 0.8      // of the time after which silence counts as told
+	askRelay   = 1000.0   // between two relays' asking of the list anew
+	askSpread  = 20.0     // between two relays' first asking
 )
 
 // buckets is the paper's formula. A load that is not known comes in as the mean.
@@ -157,10 +157,12 @@
 	if good {
 		e.width = min(e.width+min(1/e.width, e.width), max(widest/e.relays, 1))
 	} else if l.sent > e.cutAt {
-		e.width, e.cutAt = max(e.width/2, 1/e.relays), now
+		e.narrow(now, 0.5)
 	}
 }
 
+func (e *Effects) narrow(now, part float64) { e.width, e.cutAt = max(e.width*part, 1/e.relays), now }
+
 func (e *Effects) let(chance *rand.Rand) bool {
 	return e.out < int(e.width) || (e.out == 0 && chance.Float64() < e.width)
 }
@@ -220,11 +222,10 @@
 
 // ListEnded closes the news.
 func (b *Balancer) ListEnded(now float64) {
-	b.sweep()
+	b.sweep(now)
 	b.turns.expire()
 	b.askAt, b.failures = now+b.silence(), 0
-	if !b.heard { // the cached list at the start is no answer
-		b.effects.asOf = now
+	if !b.heard && b.asked { // the cached list at the start is no answer
 		b.askAt = now + b.turns.chance.Float64()*min(askSpread*(b.shares.relays-1), b.askWithin/2)
 	}
 	b.heard = true
@@ -462,6 +463,9 @@
 	switch {
 	case outcome == Broken && l.open && b.health.failed[s] > 0:
 		b.health.lost[s] = true
+	case outcome == Broken && l.open && now < l.sent+shedSoon:
+		// Against links that go round: shed by one full server they all come to the next, at every relay.
+		b.effects.narrow(now, shedPart)
 	case outcome == Unreachable:
 		b.health.failed[s]++
 		b.turns.expire()
@@ -550,10 +554,7 @@
 
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
 func (b *Balancer) Next(now float64) Due {
-	d := Due{Wait: math.Inf(1)}
-	if b.asked {
-		d.Wait = b.askAt - now
-	}
+	d := Due{Wait: b.askAt - now}
 	if d.Wait <= 0 {
 		// Against a subscription that died without a word: its silence is counted.
 		b.askAt = now + b.silence()
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -370,6 +370,24 @@
 	assert.Greater(t, b.effects.width, 5.0, "it widens when set-ups stand in good time")
 }
 
+// Against links that go round, shed by one full server after the other: one shed soon after it stood narrows the
+// set-ups far; one that stood for long, or on a silent server, does not.
+func TestLinksThatGoRound(t *testing.T) {
+	for _, c := range []struct {
+		after  float64
+		silent int
+		want   float64
+	}{{600, 0, 4}, {20000, 0, 64}, {600, 1, 64}} {
+		b := fleet{Loads: []float64{0.3, 0.3}}.build(t)
+		l := arrive(start)
+		b.Place(start, l)
+		b.Accepted(start+20, l)
+		b.health.failed[l.server] = c.silent
+		b.After(start+c.after, l, Broken, true)
+		assert.InDelta(t, c.want, b.effects.width, 0.1)
+	}
+}
+
 // Against one server's shed link tipping the next.
 func TestShedLinksAreRemembered(t *testing.T) {
 	b := fleet{Loads: []float64{0.3, 0.3}, Relays: 1}.build(t)
--- a/logic/types.go
+++ b/logic/types.go
@@ -158,7 +158,10 @@
 
 // NewRoster takes whether the list must be asked for, and within what time it counts as asked.
 func NewRoster(asked bool, askWithin float64) *Roster {
-	return &Roster{asked: asked, askWithin: askWithin, index: map[uint32]int{}}
+	if !asked {
+		askWithin = math.Inf(1)
+	}
+	return &Roster{asked: asked, askWithin: askWithin, askAt: math.Inf(1), index: map[uint32]int{}}
 }
 
 // Health tells which servers answer.
@@ -328,10 +331,13 @@
 
 // add finds an index: that of a server gone with nothing left on it, or a new one.
 func (b *Balancer) add(id uint32) int {
-	s := slices.IndexFunc(b.ids, func(old uint32) bool {
-		i := b.index[old]
-		return b.condition[i] == Gone && b.links[i] == 0
-	})
+	s := -1
+	for i, c := range b.condition {
+		if c == Gone && b.links[i] == 0 {
+			s = i
+			break
+		}
+	}
 	nan, never := math.NaN(), math.Inf(-1)
 	if s < 0 {
 		s = len(b.ids)
@@ -356,7 +362,10 @@
 }
 
 // sweep takes out what whole news left out, and counts the first list.
-func (b *Balancer) sweep() {
+func (b *Balancer) sweep(now float64) {
+	if !b.heard {
+		b.effects.asOf = now
+	}
 	for s := range b.mentioned {
 		if b.whole && !b.mentioned[s] {
 			b.condition[s] = Gone
