--- a/logic/logic.go
+++ b/logic/logic.go
@@ -124,7 +124,7 @@
 		}
 	}
 	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
-	due := sum * pace * min(now-w.asked, w.span) / max(l.load/b.shares.loadMean, 0.1)
+	due := sum * pace * min(now-w.asked, 1.5*w.span) / max(l.load/b.shares.loadMean, 0.1)
 	w.asked = now
 	if pick >= 0 && b.turns.chance.Float64() < min(due, cold/all) {
 		return pick
