A link whose five servers are full is turned down at once

A second asking found the last gap for each link. Told from the bound of room being too high: links were placed at a median of 0.65 while nine servers in ten were over 0.75.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,6 @@
 	slowest    = 4000.0  // the design's bound of five seconds, less the answer's way
 	probeShare = 0.012   // what probes may cost a link, in points of the whole
 	drafted    = 5       // servers that a link is chosen among, where the whole fleet can't be kept in use
-	drafts     = 2       // how often it may have some asked
 	patience   = 0.1     // of its promised time, that a link waits for their answers
 	linkEvery  = 2000.0  // a server is held to be sent one link in this time, until arrivals tell
 	nearLoad   = 0.40    // below this, a server of the own zone comes first where crossing is paid for
@@ -282,13 +281,15 @@
 }
 
 // gather has the servers asked that a link is to be chosen among, and tells whether that is done. Against
-// hundreds of relays that each keep the whole fleet in use, at many times what a link may cost.
+// hundreds of relays that each keep the whole fleet in use, at many times what a link may cost. Where all that
+// it asked are full it ends: asking on, links of a fleet without room fill the last gaps, and all stand too high.
 func (b *Balancer) gather(now float64, l *Link) bool {
 	p := b.probing
 	if b.part, _ = b.spread(); !p.allowed || b.part >= 1 {
 		return true
 	}
-	if l.drafts == 0 {
+	if l.patient == 0 {
+		l.patient = min(now+patience*b.effects.categories[l.Category].PromisedTime, l.Limit)
 		b.draft(now, l)
 	}
 	return now >= l.patient || !slices.ContainsFunc(l.drafted, func(s int) bool {
@@ -297,15 +298,12 @@
 }
 
 func (b *Balancer) draft(now float64, l *Link) {
-	p, old := b.probing, len(l.drafted)
-	if l.cold >= 0 && old == 0 {
-		l.drafted, old = append(l.drafted, l.cold), 1
-	}
+	p := b.probing
 	want := int(max(min(drafted, probeShare/max(p.fee, 1e-9)), 1))
-	b.ranks = b.ranks[:0]
+	l.drafted, b.ranks = l.drafted[:0], b.ranks[:0]
 	for s, id := range b.ids {
 		if b.condition[s] != Ready || s == l.server || b.warmup.part(s, now) < 1 || !b.sameScope(l, s) ||
-			(b.health.failed[s] > 0 && now < p.askedAt[s]+slowest) || slices.Contains(l.drafted[:old], s) {
+			(b.health.failed[s] > 0 && now < p.askedAt[s]+slowest) {
 			continue
 		}
 		d := draw(b.mark(l), id)
@@ -313,14 +311,16 @@
 			d *= 1 + farFee*b.crossing
 		}
 		if at, _ := slices.BinarySearch(b.ranks, d); at < want {
-			l.drafted, b.ranks = slices.Insert(l.drafted, old+at, s), slices.Insert(b.ranks, at, d)
-			l.drafted, b.ranks = l.drafted[:min(len(l.drafted), old+want)], b.ranks[:min(len(b.ranks), want)]
+			l.drafted, b.ranks = slices.Insert(l.drafted, at, s), slices.Insert(b.ranks, at, d)
+			l.drafted, b.ranks = l.drafted[:min(len(l.drafted), want)], b.ranks[:min(len(b.ranks), want)]
 		}
 	}
+	if l.cold >= 0 {
+		l.drafted = append(l.drafted, l.cold)
+	}
 	for _, s := range l.drafted {
 		p.want(s, now)
 	}
-	l.drafts, l.patient = l.drafts+1, min(now+patience*b.effects.categories[l.Category].PromisedTime, l.Limit)
 }
 
 // load is the server's figure with what was put there since: against a wave that all follows one late figure.
@@ -344,20 +344,16 @@
 		return b.effects.end(l, now)
 	}
 	s, until := -1, l.came+holdPart*(l.Limit-l.came)
-	if l.drafts > 0 || b.effects.let(b.turns.chance) {
+	if l.patient > 0 || b.effects.let(b.turns.chance) {
 		if !b.gather(now, l) {
 			return Answer{Verdict: Hold, Wait: l.patient - now}
 		}
 		b.refresh(now)
 		full := false
-		if s, full = b.choose(l, now); s < 0 && b.part < 1 && l.drafts < drafts && now < until {
-			b.draft(now, l)
-			return Answer{Verdict: Hold, Wait: l.patient - now}
-		}
-		if full {
+		if s, full = b.choose(l, now); full {
 			until = now
 		}
-		l.drafts, l.drafted = 0, l.drafted[:0]
+		l.patient = 0
 	}
 	if s < 0 && now+holdStep < until {
 		return Answer{Verdict: Hold, Wait: holdStep}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -242,6 +242,14 @@
 		a := b.Place(now+40, l)
 		assert.Equal(t, Send, a.Verdict, "but not for long")
 		assert.Equal(t, asked[2], a.Backend, "silent servers are not used")
+		b.Accepted(now+40, l)
+		full := arrive(now)
+		require.Equal(t, Hold, b.Place(now, full).Verdict)
+		for d := b.Next(now); d.Probing; d = b.Next(now) {
+			b.Probed(now, d.Probe, true, []float64{0, 0.9})
+		}
+		b.Probed(now+2, asked[2], true, []float64{0, 0.9})
+		assert.Equal(t, Reject, b.Place(now+40, full).Verdict, "no asking on until the last gap is filled")
 	}
 }
 
--- a/logic/types.go
+++ b/logic/types.go
@@ -85,8 +85,7 @@
 	lot     uint64  // its own mark, where no group or key draws it
 	cold    int     // the cold server that it may go to, or -1
 	drafted []int   // servers asked for it
-	drafts  int     // how often some were drawn
-	patient float64 // clock time until which their answers are waited for
+	patient float64 // clock time until which their answers are waited for, or 0
 }
 
 // Verdict is the kind of an answer.
