Others' placements count up to thirty-two for one of a relay's own

Cause: with links asking as they come, a figure is a moment old but the wave behind it is not in it; counted as four, a relay's own placement told too little of what the others follow on the same figure.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -36,7 +36,7 @@
 	nearFee    = 4.0     // and by how much more for a fee of one
 	farFee     = 20.0    // how much later one across zones is drawn to be asked, for a fee of one
 	othersPart = 0.5     // of what this relay placed, that another relay is held to have placed there too
-	herd       = 8.0     // other relays, from which each further one counts for ever less
+	herd       = 64.0    // other relays, from which each further one counts for ever less
 	crowded    = 1.5     // times the mean, above which a server has no room where loads are parts of nothing
 	calmLoad   = 0.45    // below this, no server sits turns out for being busier than the mean
 	room       = 0.80    // above this a link of the mean gain per load finds no room
