--- a/logic/logic.go
+++ b/logic/logic.go
@@ -233,10 +233,11 @@
 // silence is when the list is asked anew. Against hundreds of relays drowning it: then it tells no drain.
 func (b *Balancer) silence() float64 { return max(b.askWithin*askPart, b.shares.relays*askRelay) }
 
-// ListFailed takes a failed call or a broken subscription.
+// ListFailed takes a failed call or a broken subscription. Waits stay under the four times after which a relay
+// whose call failed counts as told of what it missed.
 func (b *Balancer) ListFailed(now float64) {
 	b.failures = min(b.failures+1, 6)
-	b.askAt = now + min(float64(int(100)<<b.failures)*(1+b.shares.relays/32), 3*b.askWithin)*
+	b.askAt = now + min(float64(int(100)<<b.failures)*(1+b.shares.relays/32), 2.5*b.askWithin)*
 		(0.5+b.turns.chance.Float64())
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -482,6 +482,10 @@
 		if b.Next(start + 5500).Subscribe {
 			again++
 		}
+		for range 9 {
+			b.ListFailed(start + 6000)
+			assert.Less(t, b.askAt-start-6000, 4*10000.0, "from then on it counts as told")
+		}
 		b.ListBegan(start+6000, false)
 		b.ListEnded(start + 6000)
 		assert.False(t, b.Next(start+60000).Subscribe, "its silence is counted by the number of relays")
