--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,10 +1,10 @@
 // Package logic decides for one relay where each new link goes, by weighted turns whose bucket counts follow
-// probed load. A link that stands keeps its server for life. Callers use it like a client library, one Balancer
-// a relay, never shared. Three calls answer: Place (where to send this link, or not yet, or never), After (what
-// to do after this outcome) and Next (how long to wait, and the probe or subscription due; asked until it names
-// none). What is seen comes in by ListBegan, Listed, ListEnded, ListFailed, Probed, Reported, Accepted, Weighed,
-// Resumed and Vanished. Plain types and bookkeeping are in types.go; the interface is the exported methods of
-// Balancer. Times are milliseconds on the caller's clock.
+// probed load. A link that stands keeps its server for life. Callers use it like a client library, one
+// Balancer a relay, never shared. Three calls answer: Place (where to send this link, or not yet, or never),
+// After (what to do after this outcome) and Next (how long to wait, and the probe or subscription due; asked
+// until it names none). What is seen comes in by ListBegan, Listed, ListEnded, ListFailed, Probed, Reported,
+// Accepted, Weighed, Resumed and Vanished. Plain types and bookkeeping are in types.go; the interface is the
+// exported methods of Balancer. Times are milliseconds on the caller's clock.
 package logic
 
 import (
@@ -105,8 +105,8 @@
 }
 
 // allow draws the cold server that a link may go to, or -1. Against hundreds of relays that each spend a link
-// at once: over the time since the last link, the chance comes to this relay's part of what fills cold servers
-// over their warm-up, to an even share at most. Little is saved up, for the same reason.
+// at once: over the time since the last link, the chance comes to this relay's part of what fills cold
+// servers over their warm-up, to an even share at most. Little is saved up, for the same reason.
 func (b *Balancer) allow(now float64, l *Link) int {
 	w := b.warmup
 	sum, cold, all, pick, least := 0.0, 0.0, 0.0, -1, math.Inf(1)
@@ -233,8 +233,8 @@
 // silence is when the list is asked anew. Against hundreds of relays drowning it: then it tells no drain.
 func (b *Balancer) silence() float64 { return max(b.askWithin*askPart, b.shares.relays*askRelay) }
 
-// ListFailed takes a failed call or a broken subscription. Waits stay under the four times after which a relay
-// whose call failed counts as told of what it missed.
+// ListFailed takes a failed call or a broken subscription. Waits stay under the four times after which a
+// relay whose call failed counts as told of what it missed.
 func (b *Balancer) ListFailed(now float64) {
 	b.failures = min(b.failures+1, 6)
 	b.askAt = now + min(float64(int(100)<<b.failures)*(1+b.shares.relays/32), 2.5*b.askWithin)*
@@ -282,8 +282,9 @@
 }
 
 // gather has the servers asked that a link is to be chosen among, and tells whether that is done. Against
-// hundreds of relays that each keep the whole fleet in use, at many times what a link may cost. Where all that
-// it asked are full it ends: asking on, links of a fleet without room fill the last gaps, and all stand too high.
+// hundreds of relays that each keep the whole fleet in use, at many times what a link may cost. Where all
+// that it asked are full it ends: asking on, links of a fleet without room fill the last gaps, and all stand
+// too high.
 func (b *Balancer) gather(now float64, l *Link) bool {
 	p := b.probing
 	if b.part, _ = b.spread(); !p.allowed || b.part >= 1 {
