--- a/logic/logic.go
+++ b/logic/logic.go
@@ -83,17 +83,6 @@
 	t.built, t.stale = now, false
 }
 
-func (t *Turns) next(may func(server int) bool) int {
-	for range t.table {
-		s := t.table[t.at].server
-		t.at = (t.at + 1) % len(t.table)
-		if may(s) {
-			return s
-		}
-	}
-	return -1
-}
-
 // good wants two failures before a server is out: one lost probe or one stall is not a death.
 func (h *Health) good(s int) bool { return h.failed[s] < 2 }
 
@@ -384,6 +373,19 @@
 	}
 }
 
+// Weighed takes what a link weighs now, in microseconds of work a second.
+func (b *Balancer) Weighed(now float64, l *Link, load float64) {
+	if !(load >= 0) || math.IsInf(load, 1) || !l.out {
+		return
+	}
+	if !l.measured {
+		l.measured = true
+		b.shares.weigh(l.Category, load)
+	}
+	b.linkLoads[l.server] += load - l.load
+	l.load = load
+}
+
 func (b *Balancer) choose(l *Link, now float64) (int, bool) {
 	avoid := l.server
 	open := func(s int) bool {
--- a/logic/types.go
+++ b/logic/types.go
@@ -453,18 +453,17 @@
 	b.book(l)
 }
 
-// Weighed takes what a link weighs now, in microseconds of work a second.
-func (b *Balancer) Weighed(now float64, l *Link, load float64) {
-	if !(load >= 0) || math.IsInf(load, 1) || !l.out {
-		return
-	}
-	if !l.measured {
-		l.measured = true
-		b.shares.weigh(l.Category, load)
-	}
-	b.linkLoads[l.server] += load - l.load
-	l.load = load
-}
-
 // expire has the table built anew at the next link.
 func (t *Turns) expire() { t.stale, t.built = true, math.Inf(-1) }
+
+// next walks on to the first bucket whose server may take the link.
+func (t *Turns) next(may func(server int) bool) int {
+	for range t.table {
+		s := t.table[t.at].server
+		t.at = (t.at + 1) % len(t.table)
+		if may(s) {
+			return s
+		}
+	}
+	return -1
+}
