Read-through: failures counted in one place, a link's mark taken once, one test of room

Seen and left: Probed and Reported each look up the same index; two passes over the servers at each rebuild, as the mean must be known before the buckets.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -178,7 +178,7 @@
 		in.U32()
 		what, amount := in.U8(), in.F32()
 		if in.Err == nil && l != nil && l.round == round && what == 1 {
-			i.balancer.Weighed(h.now, &l.Link, amount)
+			i.balancer.Weighed(&l.Link, amount)
 		}
 	case wire.Completed:
 		l, last, round := i.links[in.U32()], in.U8() != 0, int(in.U16())
@@ -246,7 +246,7 @@
 		b.ListFailed(h.now)
 		return
 	}
-	b.ListBegan(h.now, how != 0)
+	b.ListBegan(how != 0)
 	rows := wire.Over(h.pages[page])
 	for n := len(h.pages[page]) / wire.EntrySize; n > 0; n-- {
 		zone, condition, cell := int(rows.U8()), logic.Condition(rows.U8()), int(rows.U16())
--- a/logic/helpers_test.go
+++ b/logic/helpers_test.go
@@ -35,7 +35,7 @@
 		NewProbing(true, 0.002, []string{"queue", "x0"}),
 		NewEffects(categories, max(f.Tries, 3), f.MaxBack, relays),
 		NewShares(categories, []float64{10, 990}, 0.2, relays), 0, f.Crossed, f.Grouped, false)
-	b.ListBegan(start, true)
+	b.ListBegan(true)
 	for i := range f.Loads {
 		cold := 0.0
 		if i == len(f.Loads)-1 {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,7 +97,7 @@
 // at once: over the time since the last link, the chance comes to this relay's part of what fills cold
 // servers over their warm-up, to an even share at most. Little is saved up, for the same reason.
 func (b *Balancer) allow(now float64, l *Link) int {
-	w := b.warmup
+	w, mark := b.warmup, b.mark(l)
 	sum, cold, all, pick, least := 0.0, 0.0, 0.0, -1, math.Inf(1)
 	for s := range b.ids {
 		if b.condition[s] != Ready || !b.health.good(s) {
@@ -106,7 +106,7 @@
 		all++
 		if part := w.part(s, now); part < 1 {
 			cold, sum = cold+1, sum+part
-			if d := draw(b.mark(l), b.ids[s]) / part; d < least {
+			if d := draw(mark, b.ids[s]) / part; d < least {
 				pick, least = s, d
 			}
 		}
@@ -289,7 +289,7 @@
 }
 
 func (b *Balancer) draft(now float64, l *Link) {
-	p := b.probing
+	p, mark := b.probing, b.mark(l)
 	want := int(max(min(drafted, probeShare/max(p.fee, 1e-9)), 1))
 	l.drafted, b.ranks = l.drafted[:0], b.ranks[:0]
 	for s, id := range b.ids {
@@ -297,7 +297,7 @@
 			(b.health.failed[s] > 0 && now < p.askedAt[s]+slowest) {
 			continue
 		}
-		d := draw(b.mark(l), id)
+		d := draw(mark, id)
 		if b.zones[s] != b.zone {
 			d *= 1 + farFee*b.crossing
 		}
@@ -374,7 +374,7 @@
 }
 
 // Weighed takes what a link weighs now, in microseconds of work a second.
-func (b *Balancer) Weighed(now float64, l *Link, load float64) {
+func (b *Balancer) Weighed(l *Link, load float64) {
 	if !(load >= 0) || math.IsInf(load, 1) || !l.out {
 		return
 	}
@@ -399,7 +399,8 @@
 		bounds = [...]float64{bound, bound, bound, bound}
 	}
 	weight := l.load / cmp.Or(b.capacity, math.Inf(1)) // nothing, while nothing is known
-	if l.cold >= 0 && b.turns.counts[l.cold] > 0 && open(l.cold) && b.load(l.cold)+weight < bound {
+	fits := func(s int, limit float64) bool { return open(s) && b.load(s)+weight < min(limit, bound) }
+	if l.cold >= 0 && b.turns.counts[l.cold] > 0 && fits(l.cold, bound) {
 		return l.cold, false
 	}
 	for i, limit := range bounds {
@@ -407,8 +408,7 @@
 			avoid = -1
 		}
 		if s := b.turn(l, func(s int) bool {
-			return (i > 0 || (b.crossing > 0 && b.zones[s] == b.zone)) && open(s) &&
-				b.load(s)+weight < min(limit, bound)
+			return (i > 0 || (b.crossing > 0 && b.zones[s] == b.zone)) && fits(s, limit)
 		}); s >= 0 {
 			return s, false
 		}
@@ -422,10 +422,10 @@
 	if !b.grouped && !b.passing {
 		return b.turns.next(may)
 	}
-	best, least := -1, math.Inf(1)
+	best, least, mark := -1, math.Inf(1), b.mark(l)
 	for s, n := range b.turns.counts {
 		if n > 0 && may(s) {
-			if d := draw(b.mark(l), b.ids[s]) / float64(n); d < least {
+			if d := draw(mark, b.ids[s]) / float64(n); d < least {
 				best, least = s, d
 			}
 		}
@@ -467,8 +467,7 @@
 		// Against links that go round: shed by one full server they all come to the next, at every relay.
 		b.effects.narrow(now, shedPart)
 	case outcome == Unreachable:
-		b.health.failed[s]++
-		b.turns.expire()
+		b.doubt(s)
 	case outcome == Satisfied && !l.open: // an answer that is no stream
 		b.stood(now, l)
 	case outcome == TimedOut:
@@ -490,6 +489,8 @@
 	return b.Place(now, l)
 }
 
+func (b *Balancer) doubt(s int) { b.health.failed[s]++; b.turns.expire() }
+
 func (b *Balancer) stood(now float64, l *Link) {
 	e := b.effects
 	fade := math.Exp((e.asOf - now) / tryMemory)
@@ -516,8 +517,7 @@
 	}
 	b.probing.sentAt[s] = math.NaN()
 	if !ok {
-		b.health.failed[s]++
-		b.turns.expire()
+		b.doubt(s)
 		return
 	}
 	if b.health.lost[s] {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -172,11 +172,11 @@
 		name string
 		tell func(b *Balancer)
 	}{
-		{"draining", func(b *Balancer) { b.ListBegan(start, false); b.Listed(1, 0, Draining, 0, 0, 1) }},
-		{"gone", func(b *Balancer) { b.ListBegan(start, false); b.Listed(1, 0, Gone, 0, 0, 1) }},
-		{"left out", func(b *Balancer) { b.ListBegan(start, true); b.Listed(2, 1, Ready, 1, 0, 1) }},
+		{"draining", func(b *Balancer) { b.ListBegan(false); b.Listed(1, 0, Draining, 0, 0, 1) }},
+		{"gone", func(b *Balancer) { b.ListBegan(false); b.Listed(1, 0, Gone, 0, 0, 1) }},
+		{"left out", func(b *Balancer) { b.ListBegan(true); b.Listed(2, 1, Ready, 1, 0, 1) }},
 		{"never listed", func(b *Balancer) {
-			b.ListBegan(start, false)
+			b.ListBegan(false)
 			b.Listed(9, 0, Gone, 0, 0, 1)
 			b.Listed(1, 0, Gone, 0, 0, 1)
 		}},
@@ -273,7 +273,7 @@
 
 func TestRestartIsCold(t *testing.T) {
 	b := fleet{Loads: []float64{0.4, 0.4}}.build(t)
-	b.ListBegan(start+10, false)
+	b.ListBegan(false)
 	b.Listed(1, 0, Ready, 0, start+5, 1)
 	b.ListEnded(start + 10)
 	assert.True(t, math.IsNaN(b.probing.load[0]))
@@ -402,8 +402,8 @@
 	l := &Link{Key: 7, Limit: start + 2000}
 	b.Place(start, l)
 	b.Accepted(start, l)
-	b.Weighed(start, l, 90000)
-	b.Weighed(start, l, math.NaN())
+	b.Weighed(l, 90000)
+	b.Weighed(l, math.NaN())
 	b.After(start+100, l, Broken, true)
 	again := &Link{Key: 7, Limit: start + 3000}
 	b.Place(start+1000, again)
@@ -417,7 +417,7 @@
 		l := arrive(start - 5000)
 		l.Category = i % 2
 		b.Resumed(start, l, uint32(i%3+1))
-		b.Weighed(start, l, 100)
+		b.Weighed(l, 100)
 	}
 	poor, rich := arrive(start), arrive(start)
 	rich.Category, rich.Party = 1, 1
@@ -464,7 +464,7 @@
 	assert.False(t, b.Next(start).Subscribe)
 	b.ListFailed(start + 50)
 	assert.True(t, b.Next(start+350).Subscribe, "a failed call is made again soon")
-	b.ListBegan(start+400, false)
+	b.ListBegan(false)
 	b.ListEnded(start + 400)
 	assert.False(t, b.Next(start+5000).Subscribe)
 	assert.True(t, b.Next(start+10000).Subscribe, "silence is counted")
@@ -486,7 +486,7 @@
 			b.ListFailed(start + 6000)
 			assert.Less(t, b.askAt-start-6000, 4*10000.0, "from then on it counts as told")
 		}
-		b.ListBegan(start+6000, false)
+		b.ListBegan(false)
 		b.ListEnded(start + 6000)
 		assert.False(t, b.Next(start+60000).Subscribe, "its silence is counted by the number of relays")
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -435,7 +435,7 @@
 }
 
 // ListBegan starts news of the list; whole news lists every server there is.
-func (b *Balancer) ListBegan(now float64, whole bool) {
+func (b *Balancer) ListBegan(whole bool) {
 	b.whole = whole
 	for s := range b.mentioned {
 		b.mentioned[s] = false
