--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -8,28 +8,27 @@
 	"io"
 	"math"
 
+	"valeshift/internal/hand"
+	"valeshift/internal/settings"
 	"valeshift/internal/wire"
 	"valeshift/logic"
 )
 
-// hand is a link in hand.
-type hand struct {
-	logic.Link
-	id    uint32
-	round int     // number of the setup try that is out, or was last
-	again float64 // when to ask again about a link that is held, or +Inf
+// link is a link in hand.
+type link struct {
+	hand.Link
+	id uint32
 }
 
 // instance is one relay.
 type instance struct {
-	number   uint16
-	balancer *logic.Balancer
-	links    map[uint32]*hand
-	held     []*hand
-	answered bool    // a probe was, for which held links may wait
-	wake     float64 // when the timer that counts fires
-	ticket   uint32
-	touched  bool
+	number  uint16
+	host    *host
+	table   *hand.Table[*link] // nil: not begun
+	links   map[uint32]*link
+	wake    float64 // when the timer that counts fires
+	ticket  uint32
+	touched bool
 }
 
 // host runs all instances of this process.
@@ -74,7 +73,7 @@
 		case wire.About:
 			number := h.in.U16()
 			if i = h.instances[number]; i == nil {
-				i = &instance{number: number}
+				i = &instance{number: number, host: h}
 				h.instances[number] = i
 			}
 		case wire.SnapshotRows:
@@ -123,13 +122,15 @@
 		if in.Err != nil {
 			return in.Err
 		}
-		*i = instance{number: i.number, touched: true, links: map[uint32]*hand{}, wake: math.Inf(1)}
-		var err error
-		if i.balancer, err = assemble(seed, string(text)); err != nil {
+		*i = instance{number: i.number, host: h, touched: true, links: map[uint32]*link{}, wake: math.Inf(1)}
+		balancer, err := settings.Over(wire.Pairs(string(text))).Assemble(seed)
+		if err != nil {
 			h.say(i, wire.InternalError).Text(err.Error())
+		} else {
+			i.table = hand.NewTable(balancer, i)
 		}
 	case wire.CrashNow:
-		*i = instance{number: i.number, touched: true}
+		*i = instance{number: i.number, host: h, touched: true}
 	case wire.DirectoryUpdate:
 		how, page := in.U8(), in.U32()
 		in.U64()
@@ -139,11 +140,11 @@
 		if in.Err == nil && how != 3 && page >= uint32(len(h.pages)) {
 			return fmt.Errorf("offset %d: a page number under %d expected, got %d", at+3, len(h.pages), page)
 		}
-		if in.Err == nil && i.balancer != nil {
-			h.list(i.balancer, how, page)
+		if in.Err == nil && i.table != nil {
+			h.list(i.table.Balancer, how, page)
 		}
 	case wire.Incoming, wire.Resumed:
-		l := &hand{id: in.U32(), again: math.Inf(1)}
+		l := &link{id: in.U32()}
 		l.Category, l.Party, l.Key, l.Limit = int(in.U8()), int(in.U32()), in.U64(), in.F64()
 		hint, group, options := in.F64(), in.U64(), in.U16()
 		if options&1 != 0 && hint > 0 {
@@ -154,31 +155,31 @@
 		if code == wire.Resumed {
 			server = in.U32()
 		}
-		if in.Err != nil || i.balancer == nil {
+		if in.Err != nil || i.table == nil {
 			return in.Err
 		}
-		if !i.balancer.Knows(l.Category) {
+		if !i.table.Balancer.Knows(l.Category) {
 			return fmt.Errorf("offset %d: a category of the settings expected, got %d", at+6, l.Category)
 		}
 		i.links[l.id] = l
 		if code == wire.Resumed {
-			i.balancer.Resumed(h.now, &l.Link, server)
+			i.table.Balancer.Resumed(h.now, &l.Link.Link, server)
 		} else {
-			h.carry(i, l, i.balancer.Place(h.now, &l.Link))
+			i.table.Place(h.now, l)
 		}
 	case wire.Accepted:
 		l, round := i.links[in.U32()], int(in.U16())
 		in.U32()
 		in.F64()
-		if in.Err == nil && l != nil && l.round == round {
-			i.balancer.Accepted(h.now, &l.Link)
+		if in.Err == nil && l != nil && l.Round == round {
+			i.table.Balancer.Accepted(h.now, &l.Link.Link)
 		}
 	case wire.HintUpdate:
 		l, round := i.links[in.U32()], int(in.U16())
 		in.U32()
 		what, amount := in.U8(), in.F32()
-		if in.Err == nil && l != nil && l.round == round && what == 1 {
-			i.balancer.Weighed(&l.Link, amount)
+		if in.Err == nil && l != nil && l.Round == round && what == 1 {
+			i.table.Balancer.Weighed(&l.Link.Link, amount)
 		}
 	case wire.Completed:
 		l, last, round := i.links[in.U32()], in.U8() != 0, int(in.U16())
@@ -186,16 +187,16 @@
 		in.F64()
 		reason := in.U8()
 		h.report = in.Report(h.report)
-		if in.Err == nil && i.balancer != nil && len(h.report) > 0 {
-			i.balancer.Reported(h.now, server, h.report)
+		if in.Err == nil && i.table != nil && len(h.report) > 0 {
+			i.table.Balancer.Reported(h.now, server, h.report)
 		}
-		if in.Err == nil && l != nil && l.round == round {
-			h.carry(i, l, i.balancer.After(h.now, &l.Link, outcome(reason), last))
+		if in.Err == nil && l != nil && l.Round == round {
+			i.table.After(h.now, l, outcome(reason), last)
 		}
 	case wire.Vanished:
 		if l := i.links[in.U32()]; in.Err == nil && l != nil {
-			if !i.balancer.Vanished(&l.Link) {
-				h.drop(i, l)
+			if !i.table.Balancer.Vanished(&l.Link.Link) {
+				i.drop(l)
 			}
 		}
 	case wire.Health:
@@ -203,9 +204,8 @@
 		in.F64()
 		reason := in.U8()
 		h.report = in.Report(h.report)
-		if in.Err == nil && i.balancer != nil {
-			i.answered = true
-			i.balancer.Probed(h.now, server, reason == 0, h.report)
+		if in.Err == nil && i.table != nil {
+			i.table.Probed(h.now, server, reason == 0, h.report)
 		}
 	case wire.Fired:
 		if ticket := in.U32(); ticket == i.ticket {
@@ -267,60 +267,39 @@
 	return h.out.Record(code)
 }
 
-func (h *host) drop(i *instance, l *hand) {
-	l.again = math.Inf(1)
+func (i *instance) drop(l *link) {
+	i.table.Drop(l)
 	delete(i.links, l.id)
 }
 
-// carry does what the module answered.
-func (h *host) carry(i *instance, l *hand, a logic.Answer) {
-	l.again = math.Inf(1)
+// Carry says what the module answered.
+func (i *instance) Carry(l *link, a logic.Answer) {
 	switch a.Verdict {
 	case logic.Send:
-		l.round = a.Round
-		h.say(i, wire.Assign).U32(l.id).U32(a.Backend).F64(a.Timeout)
-	case logic.Hold:
-		l.again = h.now + a.Wait
-		i.held = append(i.held, l)
+		i.host.say(i, wire.Assign).U32(l.id).U32(a.Backend).F64(a.Timeout)
 	case logic.Reject:
-		h.say(i, wire.NotNow).U32(l.id).F64(a.Wait)
-		h.drop(i, l)
+		i.host.say(i, wire.NotNow).U32(l.id).F64(a.Wait)
+		i.drop(l)
 	case logic.Fail:
-		h.say(i, wire.RespondError).U32(l.id)
-		h.drop(i, l)
-	case logic.Over:
-		h.drop(i, l)
+		i.host.say(i, wire.RespondError).U32(l.id)
+		i.drop(l)
+	default:
+		i.drop(l)
 	}
 }
 
-// drive asks again about held links, sends what is due, and sees to it that a timer brings the next look.
+// Probe has the server asked.
+func (i *instance) Probe(id uint32) { i.host.say(i, wire.Test).U32(id) }
+
+// Subscribe has the list asked for.
+func (i *instance) Subscribe() { i.host.say(i, wire.Subscribe).U8(1) }
+
+// drive does what is due, and sees to it that a timer brings the next look.
 func (h *host) drive(i *instance) {
-	if i.balancer == nil {
+	if i.table == nil {
 		return
 	}
-	waiting := i.held
-	i.held = i.held[len(i.held):]
-	for _, l := range waiting {
-		if l.again <= h.now || (i.answered && !math.IsInf(l.again, 1)) {
-			h.carry(i, l, i.balancer.Place(h.now, &l.Link))
-		} else if !math.IsInf(l.again, 1) {
-			i.held = append(i.held, l)
-		}
-	}
-	i.answered = false
-	due := i.balancer.Next(h.now)
-	for ; due.Probing || due.Subscribe; due = i.balancer.Next(h.now) {
-		if due.Probing {
-			h.say(i, wire.Test).U32(due.Probe)
-		} else {
-			h.say(i, wire.Subscribe).U8(1)
-		}
-	}
-	wake := h.now + due.Wait
-	for _, l := range i.held {
-		wake = min(wake, l.again)
-	}
-	if wake < i.wake {
+	if wake := i.table.Drive(h.now); wake < i.wake {
 		i.wake = wake
 		i.ticket++
 		h.say(i, wire.Schedule).F64(min(max(wake-h.now, 0), 3.6e6)).U32(i.ticket)
--- /dev/null
+++ b/internal/hand/hand.go
@@ -0,0 +1,107 @@
+// Package hand keeps the links that a driver has in hand for one relay: it puts them to the module, asks again
+// about those held, and asks what is due until nothing is. Both drivers, the wire's and the sockets', stand on it,
+// so that the same decisions come of the same news. It decides nothing and knows no wire.
+package hand
+
+import (
+	"math"
+
+	"valeshift/logic"
+)
+
+// Link is the part of a driver's link that stands here; the driver embeds it.
+type Link struct {
+	logic.Link
+	Round int     // number of the setup try that is out, or was last
+	again float64 // when to ask again, while it is held
+}
+
+// Hand is the link's own part.
+func (l *Link) Hand() *Link { return l }
+
+// Held is a driver's link.
+type Held interface {
+	comparable
+	Hand() *Link
+}
+
+// Driver does what the module answers.
+type Driver[L Held] interface {
+	// Carry does an answer that isn't to hold; after any but a send the link is no longer in hand.
+	Carry(l L, a logic.Answer)
+	Probe(id uint32)
+	Subscribe()
+}
+
+// Table is what one relay has in hand.
+type Table[L Held] struct {
+	Balancer *logic.Balancer
+	driver   Driver[L]
+	held     []L
+	answered bool // a probe was, for which held links may wait
+}
+
+// NewTable joins the module and its driver.
+func NewTable[L Held](b *logic.Balancer, driver Driver[L]) *Table[L] {
+	return &Table[L]{Balancer: b, driver: driver}
+}
+
+// Place asks where the link goes.
+func (t *Table[L]) Place(now float64, l L) {
+	t.carry(now, l, t.Balancer.Place(now, &l.Hand().Link))
+}
+
+// After tells the outcome of a setup try, or of its link, and does what follows.
+func (t *Table[L]) After(now float64, l L, outcome logic.Outcome, last bool) {
+	t.carry(now, l, t.Balancer.After(now, &l.Hand().Link, outcome, last))
+}
+
+// Probed tells the answer to a probe.
+func (t *Table[L]) Probed(now float64, id uint32, ok bool, report []float64) {
+	t.answered = true
+	t.Balancer.Probed(now, id, ok, report)
+}
+
+// Drop has nothing asked about the link again.
+func (t *Table[L]) Drop(l L) { l.Hand().again = math.Inf(1) }
+
+func (t *Table[L]) carry(now float64, l L, a logic.Answer) {
+	h := l.Hand()
+	h.again = math.Inf(1)
+	switch a.Verdict {
+	case logic.Hold:
+		h.again = now + a.Wait
+		t.held = append(t.held, l)
+		return
+	case logic.Send:
+		h.Round = a.Round
+	}
+	t.driver.Carry(l, a)
+}
+
+// Drive asks again about held links, has sent what is due, and tells when to look again.
+func (t *Table[L]) Drive(now float64) float64 {
+	waiting := t.held
+	t.held = t.held[len(t.held):]
+	for _, l := range waiting {
+		if again := l.Hand().again; again <= now || (t.answered && !math.IsInf(again, 1)) {
+			t.Place(now, l)
+		} else if !math.IsInf(again, 1) {
+			t.held = append(t.held, l)
+		}
+	}
+	t.answered = false
+	due := t.Balancer.Next(now)
+	for ; due.Probing || due.Subscribe; due = t.Balancer.Next(now) {
+		if due.Probing {
+			t.driver.Probe(due.Probe)
+		} else {
+			t.driver.Subscribe()
+		}
+	}
+	wake := now + due.Wait
+	for _, l := range t.held {
+		wake = min(wake, l.Hand().again)
+	}
+	return wake
+}
--- /dev/null
+++ b/internal/lines/lines.go
@@ -0,0 +1,198 @@
+// Package lines parses the text protocol that clients and backends speak: lines ended by CRLF. It reads heads in
+// place and keeps no copy of what it is given, except the part of a line whose end has not come. It knows no
+// socket, no link and no module.
+package lines
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Longest is the most bytes of a line, its end included.
+const Longest = 4096
+
+// ErrTooLong says that a line had no end within the bound.
+var ErrTooLong = errors.New("line too long")
+
+// Splitter cuts what comes in pieces into lines.
+type Splitter struct {
+	tail []byte // of a line whose end has not come
+}
+
+// Next gives the first whole line of data, its end included, and what follows it. Without a whole line it gives
+// nil and keeps the piece. The line is good as long as data is.
+func (s *Splitter) Next(data []byte) (line, rest []byte, err error) {
+	n := bytes.IndexByte(data, '\n') + 1
+	if len(s.tail)+max(n, 1) > Longest || (n == 0 && len(s.tail)+len(data) >= Longest) {
+		return nil, nil, ErrTooLong
+	}
+	if n == 0 {
+		s.tail = append(s.tail, data...)
+		return nil, nil, nil
+	}
+	if len(s.tail) == 0 {
+		return data[:n], data[n:], nil
+	}
+	line = append(s.tail, data[:n]...)
+	s.tail = nil // not emptied: the line handed out stands in it
+	return line, data[n:], nil
+}
+
+// Partial tells whether the start of a line is kept.
+func (s *Splitter) Partial() bool { return len(s.tail) > 0 }
+
+// Bare is the line without its end.
+func Bare(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// Head is a client's first line. Its byte fields lie in the line that was read.
+type Head struct {
+	Category, Party, At []byte
+	Key, Group          uint64
+	Wait, Hint          float64 // milliseconds
+	before, after       []byte  // of the line, around the figure of the wait
+}
+
+// ReadHead reads a whole line in place.
+func ReadHead(line []byte) (Head, error) {
+	var h Head
+	bare, ended := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ended {
+		return h, errors.New("head: CRLF expected at its end")
+	}
+	verb, rest, _ := bytes.Cut(bare, []byte(" "))
+	id, rest, _ := bytes.Cut(rest, []byte(" "))
+	key, list, listed := bytes.Cut(rest, []byte(" "))
+	switch {
+	case string(verb) != "OPEN":
+		return h, errors.New("head: OPEN expected")
+	case len(id) == 0 || len(key) == 0 || !listed || bytes.IndexByte(list, ' ') >= 0:
+		return h, errors.New("head: an id, a key and a list expected")
+	}
+	h.Key = Mark(key)
+	seen := make([]string, 0, 8)
+	for at := len(bare) - len(list); at <= len(bare); {
+		pair := bare[at:]
+		if n := bytes.IndexByte(pair, ','); n >= 0 {
+			pair = pair[:n]
+		}
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok || len(name) == 0 {
+			return h, errors.New("head: name=value expected")
+		}
+		for _, other := range seen {
+			if other == string(name) {
+				return h, fmt.Errorf("head: %s stands twice", name)
+			}
+		}
+		seen = append(seen, string(name))
+		var err error
+		switch string(name) {
+		case "c":
+			h.Category = value
+		case "t":
+			h.Party = value
+		case "at":
+			h.At = value
+		case "g":
+			h.Group = Mark(value)
+		case "h":
+			h.Hint, err = number(name, value)
+		case "d":
+			h.Wait, err = number(name, value)
+			from := at + len(name) + 1
+			h.before, h.after = line[:from], line[from+len(value):]
+		}
+		if err != nil {
+			return h, err
+		}
+		at += len(pair) + 1
+	}
+	if len(h.Category) == 0 || h.before == nil {
+		return h, errors.New("head: c and d expected")
+	}
+	return h, nil
+}
+
+func number(name, value []byte) (float64, error) {
+	v, err := strconv.ParseFloat(string(value), 64)
+	if err != nil || !(v >= 0) || math.IsInf(v, 0) || v > 1e9 {
+		return 0, fmt.Errorf("head: %s: a number of milliseconds expected", name)
+	}
+	return v, nil
+}
+
+// Mark reads a key or a group: a number in hexadecimal, or the hash of whatever else it is, so that all relays
+// know it by the same number.
+func Mark(text []byte) uint64 {
+	if v, err := strconv.ParseUint(string(text), 16, 64); err == nil {
+		return v
+	}
+	sum := uint64(14695981039346656037) // FNV-1a
+	for _, c := range text {
+		sum = (sum ^ uint64(c)) * 1099511628211
+	}
+	return sum
+}
+
+// Out is the head as it goes on, in pieces to be written together: unchanged but for the wait.
+func (h *Head) Out(wait float64) [][]byte {
+	return [][]byte{h.before, strconv.AppendInt(nil, int64(max(wait, 0)), 10), h.after}
+}
+
+// Verb cuts a line's first word from what follows.
+func Verb(line []byte) (verb, rest []byte) {
+	verb, rest, _ = bytes.Cut(Bare(line), []byte(" "))
+	return verb, rest
+}
+
+// Load reads the figure of a load notice.
+func Load(rest []byte) (float64, bool) {
+	v, err := strconv.ParseFloat(string(rest), 64)
+	return v, err == nil && v >= 0 && !math.IsInf(v, 0)
+}
+
+// Report reads a load report's values in the order of the fields given; one that is not there, or is no number,
+// is NaN. It gives nil where no field is there.
+func Report(rest []byte, fields []string) []float64 {
+	var report []float64
+	for pair := range bytes.SplitSeq(rest, []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		for i, field := range fields {
+			if field != string(name) && field != plain(string(name)) {
+				continue
+			}
+			if v, err := strconv.ParseFloat(strings.TrimSpace(string(value)), 64); err == nil {
+				for len(report) < len(fields) {
+					report = append(report, math.NaN())
+				}
+				report[i] = v
+			}
+		}
+	}
+	return report
+}
+
+// plain is a reported value's name as the settings have it.
+func plain(name string) string {
+	switch name {
+	case "inflight":
+		return "active"
+	case "queue":
+		return "waiting"
+	case "util":
+		return "cpu"
+	case "latency_ms":
+		return "avg_ms"
+	case "qps":
+		return "rps"
+	case "eps":
+		return "err_rps"
+	}
+	return name
+}
--- /dev/null
+++ b/internal/relay/backends.go
@@ -0,0 +1,219 @@
+package relay
+
+// This file is the part of the reducer for backends: the list as discovery tells it, the watch on it, and probes.
+// It must never decide which backend is used or when one is asked: that is the module's.
+
+import (
+	"hash/fnv"
+
+	"valeshift/internal/lines"
+	"valeshift/logic"
+)
+
+const (
+	watchBeat  = 3500.0 // an empty line comes every two seconds; one missed is the end of the watch
+	probeWaits = 2      // times the time for a connect, for a probe's answer
+)
+
+// backend is a server as this relay knows it.
+type backend struct {
+	Entry
+	id        uint32
+	condition logic.Condition
+	links     []*link // that stand
+	probe     *end
+	asking    bool // a probe is out
+}
+
+// named finds the backend, or takes in a new one. Its number comes of its name, so that all relays draw alike.
+func (r *Reducer) named(name string) *backend {
+	b := r.backends[name]
+	if b == nil {
+		sum := fnv.New32a()
+		sum.Write([]byte(name))
+		b = &backend{Entry: Entry{Name: name}, id: sum.Sum32()}
+		for r.byID[b.id] != nil {
+			b.id++
+		}
+		r.backends[name], r.byID[b.id] = b, b
+	}
+	return b
+}
+
+func (r *Reducer) zone(name string) int {
+	z, known := r.zones[name]
+	if !known {
+		z = len(r.zones)
+		r.zones[name] = z
+	}
+	return z
+}
+
+// apply takes news of the list.
+func (r *Reducer) apply(news *News) {
+	r.index = news.Index
+	r.table.Balancer.ListBegan(news.Whole)
+	named := map[*backend]bool{}
+	for _, e := range news.Entries {
+		if e.Bad != "" {
+			r.note("bad entry in the list", "backend", e.Name, "why", e.Bad)
+			if r.backends[e.Name] == nil {
+				continue
+			}
+			e = r.backends[e.Name].Entry
+		}
+		b := r.named(e.Name)
+		moved := b.Address != e.Address || e.Since > b.Since
+		b.Entry = e
+		named[b] = true
+		switch e.Status {
+		case "active":
+			b.condition = logic.Ready
+		case "leaving":
+			b.condition = logic.Draining
+		default:
+			b.condition = logic.Gone
+		}
+		r.table.Balancer.Listed(b.id, r.zone(e.Zone), b.condition, e.Group, e.Since, e.Weight)
+		if b.probe != nil && (moved || b.condition == logic.Gone) {
+			r.probeOver(b)
+		}
+	}
+	for _, b := range r.byID {
+		if news.Whole && !named[b] {
+			b.condition = logic.Gone
+		}
+		if b.condition != logic.Ready && len(b.links) > 0 {
+			r.moveAll(b.links, r.now, drainOver)
+		}
+	}
+	r.table.Balancer.ListEnded(r.now)
+}
+
+// list takes what the watch brought.
+func (r *Reducer) list(e Event) {
+	if e.Kind == ListFailed {
+		why := "ended"
+		if e.Err != nil {
+			why = e.Err.Error()
+		}
+		r.listFailed(why)
+		return
+	}
+	r.arm(&r.watched, r.now+watchBeat)
+	if e.Kind == ListHeard {
+		return
+	}
+	if e.News.Index < r.index && (r.asked > 0 || !e.News.Whole) {
+		// Against a list older than the one held: the next watch asks for all of it.
+		r.index = 0
+		r.do(Effect{Do: Unwatch})
+		r.listFailed("version went back")
+		return
+	}
+	r.apply(e.News)
+	r.nowReady()
+}
+
+func (r *Reducer) listFailed(why string) {
+	r.note("watch failed", "why", why)
+	r.watching = 0
+	r.disarm(&r.watched)
+	r.table.Balancer.ListFailed(r.now)
+}
+
+// watchQuiet takes that the watch has brought nothing for too long.
+func (r *Reducer) watchQuiet() {
+	r.do(Effect{Do: Unwatch})
+	r.listFailed("silent")
+}
+
+func (r *Reducer) watch() {
+	r.Watches++
+	r.watches++
+	r.watching, r.asked = r.watches, r.index
+	r.do(Effect{Do: Watch, Conn: r.watching, After: r.index})
+	r.arm(&r.watched, r.now+watchBeat)
+}
+
+// Subscribe has the list watched. A watch that still brings its empty lines needs no other.
+func (r *Reducer) Subscribe() {
+	if r.watching == 0 {
+		r.watch()
+	}
+}
+
+// Probe asks the backend for its load, over one connection that stays open, as each new one is work for it.
+func (r *Reducer) Probe(id uint32) {
+	r.Probes++
+	b := r.byID[id]
+	b.asking = true
+	if b.probe == nil {
+		b.probe = r.dial(b, nil)
+		b.probe.wait.fire = func() { r.probeOver(b) }
+	} else if b.probe.up {
+		r.ask(b)
+	}
+	r.arm(&b.probe.wait, r.now+probeWaits*r.connectTime)
+}
+
+func (r *Reducer) ask(b *backend) {
+	if len(r.fields) > 0 {
+		r.write(b.probe, []byte("STATS\r\n"))
+	} else {
+		r.write(b.probe, []byte("PING\r\n"))
+	}
+}
+
+func (r *Reducer) probeEvent(c *end, e Event) {
+	b := c.backend
+	switch e.Kind {
+	case Up:
+		c.up = true
+		if b.asking {
+			r.ask(b)
+		}
+	case Over:
+		r.probeOver(b)
+	case Came:
+		for data := e.Data; b.probe == c; {
+			line, rest, err := c.in.Next(data)
+			if err != nil {
+				r.probeOver(b)
+				return
+			}
+			if line == nil {
+				return
+			}
+			data = rest
+			verb, said := lines.Verb(line)
+			r.probed(b, string(verb) == "PONG", lines.Report(said, r.fields))
+		}
+	}
+}
+
+func (r *Reducer) probed(b *backend, ok bool, report []float64) {
+	if !b.asking {
+		return
+	}
+	b.asking = false
+	r.disarm(&b.probe.wait)
+	r.table.Probed(r.now, b.id, ok, report)
+}
+
+// probeOver ends the connection for probes; a probe that was out has failed.
+func (r *Reducer) probeOver(b *backend) {
+	c := b.probe
+	out := b.asking
+	b.probe, b.asking = nil, false
+	r.forget(c, Break)
+	if out {
+		r.table.Probed(r.now, b.id, false, nil)
+	}
+}
+
+func (r *Reducer) reported(b *backend, said []byte) {
+	if report := lines.Report(said, r.fields); report != nil {
+		r.table.Balancer.Reported(r.now, b.id, report)
+	}
+}
--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,91 @@
+package relay
+
+// This file reads what a relay is told at its start: a JSON file, and the environment before it. It owns the names
+// of those fields and says which of them is missing or wrong. It must never act on what it reads, nor keep it.
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"valeshift/internal/settings"
+)
+
+// Told is what a relay is told at its start.
+type Told struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Cores, MemoryMB         float64
+	Sockets                 int
+	Known                   *News
+	Settings                map[string]string
+}
+
+// ReadTold reads the file that RELAY_CONFIG names. What the environment says goes before the file.
+func ReadTold(getenv func(string) string) (*Told, error) {
+	path := getenv("RELAY_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("RELAY_CONFIG: the path of a file expected, got nothing")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    float64
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Known, Settings json.RawMessage
+	}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	t := &Told{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}
+	for _, over := range []struct {
+		name string
+		to   *string
+	}{{"RELAY_NAME", &t.Name}, {"RELAY_LISTEN", &t.Listen}, {"RELAY_DISCOVERY", &t.Discovery}} {
+		if v := getenv(over.name); v != "" {
+			*over.to = v
+		}
+	}
+	if t.Name == "" {
+		return nil, fmt.Errorf("name: a name expected, got nothing")
+	}
+	for _, address := range []struct{ field, value string }{{"listen", t.Listen}, {"discovery", t.Discovery}} {
+		if _, err := netip.ParseAddrPort(address.value); err != nil {
+			return nil, fmt.Errorf("%s: address:port expected, got %q", address.field, address.value)
+		}
+	}
+	if t.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: up to 16 hexadecimal digits expected, got %q", file.Seed)
+	}
+	for _, limit := range []struct {
+		field string
+		value float64
+	}{{"cores", t.Cores}, {"memory_mb", t.MemoryMB}, {"sockets", float64(t.Sockets)}} {
+		if limit.value < 0 {
+			return nil, fmt.Errorf("limits.%s: no less than 0 expected, got %v", limit.field, limit.value)
+		}
+	}
+	t.Known = &News{Whole: true}
+	if len(file.Known) > 0 {
+		if t.Known, err = readNews(file.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+		t.Known.Whole = true
+	}
+	if len(file.Settings) == 0 {
+		return nil, fmt.Errorf("settings: an object expected, got nothing")
+	}
+	if t.Settings, err = settings.Flatten(file.Settings); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
--- /dev/null
+++ b/internal/relay/discovery.go
@@ -0,0 +1,130 @@
+package relay
+
+// This file speaks to discovery over HTTP: it owns the watch that is open, reads what it says, and hands it on as
+// events in the order it came. It must never keep a list, judge what an entry means, or decide when to ask again.
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+)
+
+// Entry is a backend as the list has it. Bad says why it can't be used; only its name counts then.
+type Entry struct {
+	Name, Address, Zone, Status string
+	Group                       int
+	Weight, Since               float64
+	Bad                         string
+}
+
+// News is a list, or the changes of one.
+type News struct {
+	Index   uint64
+	Whole   bool
+	Entries []Entry
+}
+
+func readNews(text []byte) (*News, error) {
+	var raw struct {
+		Index     *uint64
+		Snapshot  *bool
+		Endpoints []struct {
+			Name, Address, Zone, Status string
+			Group                       int
+			Weight                      *float64
+			Since                       float64 `json:"since_ms"`
+		}
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	if raw.Index == nil || raw.Snapshot == nil || raw.Endpoints == nil {
+		return nil, errors.New("list: index, snapshot and endpoints expected")
+	}
+	n := &News{Index: *raw.Index, Whole: *raw.Snapshot}
+	for _, r := range raw.Endpoints {
+		e := Entry{Name: r.Name, Address: r.Address, Zone: r.Zone, Status: r.Status, Group: r.Group,
+			Weight: 1, Since: r.Since}
+		if r.Weight != nil {
+			e.Weight = *r.Weight
+		}
+		// Against one bad entry taking the others out: it is marked, and what was known of it stays.
+		_, err := netip.ParseAddrPort(e.Address)
+		switch {
+		case e.Name == "":
+			e.Bad = "a name expected"
+		case e.Status != "active" && e.Status != "leaving" && e.Status != "left":
+			e.Bad = fmt.Sprintf("status %q is not known", e.Status)
+		case err != nil && e.Status != "left":
+			e.Bad = fmt.Sprintf("address:port expected, got %q", e.Address)
+		}
+		n.Entries = append(n.Entries, e)
+	}
+	return n, nil
+}
+
+// discovery holds one watch at a time.
+type discovery struct {
+	client  *http.Client
+	address string
+	take    func(Event)
+	stop    context.CancelFunc
+}
+
+func newDiscovery(address string, take func(Event)) *discovery {
+	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}
+	return &discovery{address: address, take: take, stop: func() {}, client: &http.Client{
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
+}
+
+// watch opens a watch in place of the one before, whose events are known by their number and dropped.
+func (d *discovery) watch(number, after uint64) {
+	d.stop()
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	go func() {
+		err := d.follow(ctx, number, after)
+		stop()
+		d.take(Event{Kind: ListFailed, Conn: number, Err: err})
+	}()
+}
+
+func (d *discovery) follow(ctx context.Context, number, after uint64) error {
+	url := "http://" + d.address + "/api/targets?watch=1&after=" + strconv.FormatUint(after, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	answer, err := d.client.Do(request)
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("watch: status %d", answer.StatusCode)
+	}
+	lines := bufio.NewScanner(answer.Body)
+	lines.Buffer(make([]byte, 0, 4096), 16<<20)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			d.take(Event{Kind: ListHeard, Conn: number})
+			continue
+		}
+		news, err := readNews(lines.Bytes())
+		if err != nil {
+			return err
+		}
+		d.take(Event{Kind: ListNews, Conn: number, News: news})
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	return errors.New("watch: ended")
+}
--- /dev/null
+++ b/internal/relay/ending.go
@@ -0,0 +1,55 @@
+package relay
+
+// This file owns the ways in which a connection can end, each one value, and what each says to the module. It must
+// never look at a connection or a link: whoever sees the end names it.
+
+import "valeshift/logic"
+
+// Ending is how a connection of a link ended.
+type Ending uint8
+
+// The endings: first those of a setup try, then those of a link that stood, then those on the client's side.
+const (
+	NotSent      Ending = iota // the backend drains by now: nothing was written
+	NeverUp                    // refused, never up in time, or broken before the head's last byte was written
+	TurnedDown                 // the backend answered BUSY
+	BackendError               // it answered ERR
+	BadAnswer                  // it answered with a line of no meaning
+	BrokeOff                   // it ended without an answer, after the head was written
+	NoAnswer                   // nothing came in the time given
+	ServedOut                  // BYE: served to its end
+	SentAway                   // MOVE: a draining backend sends the client away
+	BrokeUp                    // it ended or broke while the link stood
+	FellSilent                 // it brought nothing back while the link stood
+	SlowReader                 // a side took in too little of what was written
+	MovedAway                  // this relay sent the client elsewhere
+	ClientDone                 // the client ended it
+	ClientBroke                // the client broke it
+)
+
+var endingNames = [...]string{"not sent", "never up", "turned down", "backend error", "bad answer", "broke off",
+	"no answer", "served out", "sent away", "broke up", "fell silent", "slow reader", "moved away", "client done",
+	"client broke"}
+
+func (e Ending) String() string { return endingNames[e] }
+
+// outcome is the one place where an ending becomes what the module knows.
+func (e Ending) outcome() logic.Outcome {
+	switch e {
+	case NotSent:
+		return logic.Unsent
+	case NeverUp:
+		return logic.Unreachable
+	case TurnedDown:
+		return logic.TurnedAway
+	case BackendError, BadAnswer:
+		return logic.Errored
+	case NoAnswer:
+		return logic.TimedOut
+	case ServedOut, ClientDone:
+		return logic.Satisfied
+	case SentAway, MovedAway, ClientBroke, SlowReader:
+		return logic.CalledOff
+	}
+	return logic.Broken
+}
--- /dev/null
+++ b/internal/relay/reducer.go
@@ -0,0 +1,616 @@
+// Package relay is the program's core: the decision module on sockets.
+//
+// This file owns all state of the relay and every change of it: Take is told one event with its time and returns
+// the effects that follow. It must never touch a socket, a clock or a log, start anything that runs beside it, or
+// decide what the module decides. What a link does until it stands is here; standing.go and backends.go hold the
+// rest of the same reducer.
+package relay
+
+import (
+	"container/heap"
+	"math"
+	"strconv"
+
+	"valeshift/internal/hand"
+	"valeshift/internal/lines"
+	"valeshift/internal/settings"
+	"valeshift/logic"
+)
+
+// Kind is what an event tells.
+type Kind uint8
+
+// The events. Those of a connection or a watch that is over already are dropped by its number, as no number is
+// given twice.
+const (
+	Opened     Kind = iota // a client's connection was accepted
+	Up                     // a connection that was dialed is up
+	Came                   // bytes came; they are good until Take's effects are carried out
+	Over                   // a connection has ended or never came up
+	Tick                   // the timer fired
+	ListNews               // the watch brought entries
+	ListHeard              // the watch brought an empty line
+	ListFailed             // the watch ended
+	Stop                   // the relay is to stop
+)
+
+// Event is one thing that happened.
+type Event struct {
+	Kind   Kind
+	Conn   uint64 // of the connection, or of the watch
+	Data   []byte
+	Broken bool // Over: by a reset, not by an end
+	Unsent bool // Over: with something not written yet
+	News   *News
+	Err    error
+}
+
+// Do is what an effect asks for.
+type Do uint8
+
+// The effects.
+const (
+	Dial  Do = iota
+	Write    // Parts, after all that was written before
+	End      // end the connection once all is written
+	Break    // reset it now, or stop dialing
+	Arm      // have Tick come at At
+	Watch    // watch the list as Conn, from After on, in place of any other watch
+	Unwatch
+	Note // a line for the log
+	Quit // all is done
+)
+
+// Effect is one thing to be done, in order.
+type Effect struct {
+	Do    Do
+	Conn  uint64
+	Text  string // Dial: the address; Note: what is said
+	Parts [][]byte
+	At    float64
+	After uint64
+	Args  []any
+}
+
+const (
+	dialed     = 1 << 63 // connections from this number on are the relay's own; below, clients'
+	headTime   = 5000.0  // for a client's first line: against slow senders of heads holding sockets
+	pingIdle   = 60000.0 // for the next line of one that pings
+	margin     = 10.0    // taken off a client's wait, so that the answer is there before it gives up
+	tiny       = 1.0     // of waits
+	spareFiles = 32      // descriptors kept for the listener, the polls, the watch and dials
+	resumeTime = 38000.0 // for a link that stood before the start; it is lost two seconds later
+	resumeGap  = 500.0
+	readyTime  = 1000.0 // after which the relay serves on the list it was started with
+)
+
+// timer fires once when its time has come.
+type timer struct {
+	at    float64
+	place int // in the heap, from 1; 0: not armed
+	fire  func()
+}
+
+type timers []*timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i]; t[i].place, t[j].place = i+1, j+1 }
+func (t *timers) Push(x any)        { *t = append(*t, x.(*timer)); x.(*timer).place = len(*t) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last], *t = nil, (*t)[:last]
+	x.place = 0
+	return x
+}
+
+// end is one open connection, or one being dialed.
+type end struct {
+	conn    uint64
+	link    *link
+	backend *backend // that it goes to; nil: a client's
+	up      bool
+	pinged  bool
+	in      lines.Splitter
+	wait    timer
+}
+
+type stage uint8
+
+const (
+	heading  stage = iota // the client's first line has not come
+	placing               // the module has it
+	trying                // a setup try is out
+	resuming              // it stood before the start, and its backend is asked
+	standing
+	done
+)
+
+// link is one client's connection.
+type link struct {
+	hand.Link
+	stage  stage
+	client *end // nil: the client has gone
+	server *end // of the setup try that is out, or of the link that stands
+	head   lines.Head
+	early  []byte // what the client sent after its head, until the link stands
+	giveUp float64
+	last   Ending // what the backend said of the end to come
+	ending bool   // it said so
+	quiet  timer  // for lines that bring nothing back
+	leave  timer
+	place  int // among its backend's
+}
+
+// Reducer is the state of one relay.
+type Reducer struct {
+	Counters
+	table *hand.Table[*link]
+	now   float64
+
+	effects []Effect
+	timers  timers
+	armed   float64
+	ends    map[uint64]*end
+	links   int // from their heads to their ends
+	most    int // sockets
+	dials   uint64
+
+	categories, parties, zones map[string]int
+	fields                     []string
+	reports, probeLoad         bool
+	mayCancel                  bool
+	maxBack, connectTime       float64
+	mostHeld                   int
+	longest                    float64 // hard limit
+
+	backends map[string]*backend
+	byID     map[uint32]*backend
+	index    uint64
+	asked    uint64 // the version that the watch was asked from
+	watching uint64 // number of the watch, or 0
+	watches  uint64
+	watched  timer
+	ready    bool
+	starting timer
+
+	stopping bool
+	stopAt   float64
+	final    timer
+	quit     bool
+}
+
+// New builds the relay's state. Values are the settings, sockets the limit on descriptors (0: none), known the
+// list as it was last.
+func New(now float64, seed uint64, values map[string]string, sockets int, known *News) (*Reducer, error) {
+	p := settings.Over(values)
+	balancer, err := p.Assemble(seed)
+	if err != nil {
+		return nil, err
+	}
+	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, most: math.MaxInt, dials: dialed,
+		categories: numbers(p.Names("categories")), parties: numbers(p.Names("parties")), zones: p.Places("localities"),
+		fields: p.Fields(), reports: p.Text("stats.how") == "answers", mayCancel: p.Text("limits.may-cancel") != "false",
+		maxBack: p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
+		mostHeld: int(p.Optional("limits.most-held", math.MaxInt32)),
+		backends: map[string]*backend{}, byID: map[uint32]*backend{}}
+	for i := range r.categories {
+		r.longest = max(r.longest, p.Number("categories."+strconv.Itoa(r.categories[i])+".hard-limit-ms"))
+	}
+	if sockets > 0 {
+		r.most = max(sockets-spareFiles, 0)
+	}
+	if err := p.Err(); err != nil {
+		return nil, err
+	}
+	r.table = hand.NewTable(balancer, r)
+	r.apply(known)
+	if p.Text("discovery") == "automatic" {
+		r.watch()
+	}
+	r.watched.fire = r.watchQuiet
+	r.starting.fire = r.nowReady
+	r.arm(&r.starting, now+readyTime)
+	return r, nil
+}
+
+func numbers(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, n := range names {
+		m[n] = i
+	}
+	return m
+}
+
+// Take takes one event and gives what is to be done, good until the next call.
+func (r *Reducer) Take(now float64, e Event) []Effect {
+	r.now = now
+	if e.Kind == Tick {
+		r.armed = math.Inf(1)
+	}
+	switch e.Kind {
+	case Opened:
+		r.opened(e.Conn)
+	case Up, Came, Over:
+		if c := r.ends[e.Conn]; c != nil {
+			r.connection(c, e)
+		}
+	case ListNews, ListHeard, ListFailed:
+		if e.Conn == r.watching {
+			r.list(e)
+		}
+	case Stop:
+		r.stop()
+	}
+	for len(r.timers) > 0 && r.timers[0].at <= now {
+		heap.Pop(&r.timers).(*timer).fire()
+	}
+	wake := r.table.Drive(now)
+	if r.stopping && !r.quit && r.links == 0 && now >= r.stopAt+lastComers {
+		r.quit = true
+		r.do(Effect{Do: Quit})
+	}
+	if len(r.timers) > 0 {
+		wake = min(wake, r.timers[0].at)
+	}
+	if wake < r.armed {
+		r.armed = wake
+		r.do(Effect{Do: Arm, At: wake})
+	}
+	effects := r.effects
+	r.effects = r.effects[len(r.effects):]
+	return effects
+}
+
+func (r *Reducer) do(e Effect) { r.effects = append(r.effects, e) }
+
+func (r *Reducer) note(text string, args ...any) { r.do(Effect{Do: Note, Text: text, Args: args}) }
+
+func (r *Reducer) write(c *end, parts ...[]byte) { r.do(Effect{Do: Write, Conn: c.conn, Parts: parts}) }
+
+func (r *Reducer) arm(t *timer, at float64) {
+	t.at = at
+	if t.place > 0 {
+		heap.Fix(&r.timers, t.place-1)
+	} else {
+		heap.Push(&r.timers, t)
+	}
+}
+
+func (r *Reducer) disarm(t *timer) {
+	if t.place > 0 {
+		heap.Remove(&r.timers, t.place-1)
+	}
+}
+
+func (r *Reducer) add(c *end) *end {
+	r.ends[c.conn] = c
+	r.Open = len(r.ends)
+	r.Most = max(r.Most, r.Open)
+	return c
+}
+
+// forget lets go of a connection; with an effect, that ends it. Whatever comes of it later is dropped.
+func (r *Reducer) forget(c *end, how Do) {
+	if r.ends[c.conn] == nil {
+		return
+	}
+	r.disarm(&c.wait)
+	delete(r.ends, c.conn)
+	r.Open = len(r.ends)
+	r.do(Effect{Do: how, Conn: c.conn})
+}
+
+// dial starts a connection to the backend.
+func (r *Reducer) dial(b *backend, l *link) *end {
+	r.dials++
+	c := r.add(&end{conn: r.dials, backend: b, link: l})
+	r.do(Effect{Do: Dial, Conn: c.conn, Text: b.Address})
+	return c
+}
+
+func (r *Reducer) opened(conn uint64) {
+	r.Accepted++
+	l := &link{}
+	c := r.add(&end{conn: conn, link: l, up: true})
+	l.client = c
+	if len(r.ends) > r.most {
+		r.note("no descriptors left for a client", "open", len(r.ends))
+		r.forget(c, Break)
+		return
+	}
+	c.wait.fire = func() { r.refuse(l, "no head in time") }
+	r.arm(&c.wait, r.now+headTime)
+}
+
+func (r *Reducer) connection(c *end, e Event) {
+	if e.Kind == Over {
+		r.Open--
+		delete(r.ends, c.conn)
+		r.disarm(&c.wait)
+		// The socket may still be open on this side, after the other has ended its sending.
+		r.do(Effect{Do: End, Conn: c.conn})
+	}
+	switch l := c.link; {
+	case l == nil:
+		r.probeEvent(c, e)
+	case c.backend == nil && e.Kind == Came:
+		r.fromClient(l, e.Data)
+	case c.backend == nil:
+		r.clientOver(l, e.Broken)
+	case l.stage == standing && e.Kind == Came:
+		r.fromServer(l, e.Data)
+	case l.stage == standing:
+		r.serverOver(l, e.Broken)
+	case e.Kind == Up:
+		r.tryUp(l)
+	case e.Kind == Came:
+		r.tryAnswer(l, e.Data)
+	case !c.up || e.Unsent:
+		r.tryOver(l, NeverUp)
+	default:
+		r.tryOver(l, BrokeOff)
+	}
+}
+
+func (r *Reducer) fromClient(l *link, data []byte) {
+	for l.stage == heading {
+		line, rest, err := l.client.in.Next(data)
+		if err != nil {
+			r.refuse(l, err.Error())
+			return
+		}
+		if line == nil {
+			return
+		}
+		data = rest
+		if string(lines.Bare(line)) == "PING" {
+			r.ping(l.client)
+		} else {
+			r.begin(l, line)
+		}
+	}
+	switch {
+	case len(data) == 0 || l.stage == done:
+	case l.stage == standing:
+		r.toServer(l, data)
+	case len(l.early)+len(data) > lines.Longest:
+		c := l.client // against a client that sends on without an answer filling the memory
+		r.clientOver(l, true)
+		r.forget(c, Break)
+	default:
+		l.early = append(l.early, data...)
+	}
+}
+
+func (r *Reducer) ping(c *end) {
+	r.Pings++
+	c.pinged = true
+	r.arm(&c.wait, r.now+pingIdle)
+	switch {
+	case r.stopping:
+		r.write(c, []byte("ERR\r\n"))
+	case r.ready:
+		r.write(c, []byte("PONG\r\n"))
+	}
+}
+
+// nowReady answers those that asked before the relay could serve.
+func (r *Reducer) nowReady() {
+	if r.ready {
+		return
+	}
+	r.ready = true
+	r.disarm(&r.starting)
+	for _, c := range r.clients() {
+		if c.pinged && c.link.stage == heading {
+			r.write(c, []byte("PONG\r\n"))
+		}
+	}
+}
+
+// refuse answers a client that has no link.
+func (r *Reducer) refuse(l *link, why string) {
+	r.BadHeads++
+	r.note("bad head", "why", why)
+	l.stage = done
+	r.write(l.client, []byte("ERR\r\n"))
+	r.forget(l.client, End)
+}
+
+// begin takes a link in. The head is copied whole, as read buffers are used again, and read in that copy.
+func (r *Reducer) begin(l *link, line []byte) {
+	head, err := lines.ReadHead(append([]byte(nil), line...))
+	if err != nil {
+		r.refuse(l, err.Error())
+		return
+	}
+	category, known := r.categories[string(head.Category)]
+	if !known {
+		r.refuse(l, "unknown category")
+		return
+	}
+	l.head = head
+	l.Category, l.Key, l.Group = category, head.Key, head.Group
+	l.Hint = head.Hint * 1000
+	l.Limit = r.now + max(head.Wait-margin, tiny)
+	if party, known := r.parties[string(head.Party)]; known {
+		l.Party = party
+	} else {
+		l.Party = len(r.parties) // one without a share
+	}
+	r.disarm(&l.client.wait)
+	l.quiet.fire = func() { r.move(l, FellSilent) }
+	l.leave.fire = func() { r.move(l, MovedAway) }
+	r.Heads++
+	r.links++
+	l.stage = placing
+	switch {
+	case len(head.At) > 0:
+		r.resume(l)
+	case len(r.ends)+1 > r.most || r.links > r.mostHeld:
+		// Against running out of descriptors in mid-flow: nothing was sent, so trying again is harmless.
+		r.Carry(l, logic.Answer{Verdict: logic.Reject, Wait: r.maxBack})
+	default:
+		r.table.Place(r.now, l)
+	}
+}
+
+// Carry does what the module answered.
+func (r *Reducer) Carry(l *link, a logic.Answer) {
+	switch a.Verdict {
+	case logic.Send:
+		r.try(l, r.byID[a.Backend], a.Timeout)
+	case logic.Reject:
+		r.Rejected++
+		if a.Wait > 0 {
+			r.answer(l, []byte("BUSY "+strconv.FormatInt(int64(a.Wait), 10)+"\r\n"))
+		} else {
+			r.answer(l, []byte("BUSY\r\n"))
+		}
+	case logic.Fail:
+		r.Errored++
+		r.answer(l, []byte("ERR\r\n"))
+	}
+}
+
+// answer gives the final answer of a link that doesn't stand.
+func (r *Reducer) answer(l *link, text []byte) {
+	r.leaveHand(l)
+	if l.client != nil {
+		r.write(l.client, text)
+		r.forget(l.client, End)
+	}
+}
+
+func (r *Reducer) leaveHand(l *link) {
+	if l.stage != done && l.stage != heading {
+		r.links--
+	}
+	l.stage = done
+	r.table.Drop(l)
+	r.disarm(&l.quiet)
+	r.disarm(&l.leave)
+}
+
+func (r *Reducer) try(l *link, b *backend, timeout float64) {
+	r.Tries++
+	l.stage = trying
+	l.giveUp = r.now + timeout
+	l.server = r.dial(b, l)
+	l.server.wait.fire = func() { r.tryOver(l, NeverUp) }
+	r.arm(&l.server.wait, min(r.now+r.connectTime, l.giveUp))
+}
+
+func (r *Reducer) tryUp(l *link) {
+	c := l.server
+	c.up = true
+	if l.stage == trying && c.backend.condition != logic.Ready {
+		// Against a send to a backend that has begun to drain since it was chosen.
+		r.tryOver(l, NotSent)
+		return
+	}
+	wait := l.giveUp - r.now
+	if l.stage == resuming {
+		wait = l.head.Wait
+	}
+	r.write(c, l.head.Out(wait)...)
+	c.wait.fire = func() { r.tryOver(l, NoAnswer) }
+	r.arm(&c.wait, l.giveUp)
+}
+
+func (r *Reducer) tryAnswer(l *link, data []byte) {
+	for l.stage == trying || l.stage == resuming {
+		line, rest, err := l.server.in.Next(data)
+		if err != nil {
+			r.tryOver(l, BadAnswer)
+			return
+		}
+		if line == nil {
+			return
+		}
+		data = rest
+		verb, said := lines.Verb(line)
+		if r.reports && (string(verb) == "ERR" || string(verb) == "BUSY") {
+			r.reported(l.server.backend, said)
+		}
+		switch string(verb) {
+		case "UP":
+			r.stand(l, line)
+		case "LOAD":
+		case "BUSY":
+			r.tryOver(l, TurnedDown)
+		case "ERR":
+			r.tryOver(l, BackendError)
+		case "MOVE":
+			r.tryOver(l, SentAway)
+		default:
+			r.tryOver(l, BadAnswer)
+		}
+	}
+	if l.stage == standing && len(data) > 0 {
+		r.fromServer(l, data)
+	}
+}
+
+// tryOver ends the setup try that is out and asks what follows.
+func (r *Reducer) tryOver(l *link, how Ending) {
+	r.Endings[how]++
+	c := l.server
+	l.server = nil
+	if c.up {
+		r.forget(c, End)
+	} else {
+		r.forget(c, Break)
+	}
+	if l.stage == resuming {
+		r.resumeLater(l)
+		return
+	}
+	l.stage = placing
+	gone := l.client == nil
+	if gone {
+		r.leaveHand(l)
+	}
+	r.table.After(r.now, l, how.outcome(), gone)
+}
+
+// clientOver takes that the client has left.
+func (r *Reducer) clientOver(l *link, broken bool) {
+	how := End
+	if broken {
+		how = Break
+	}
+	c := l.client
+	l.client = nil
+	switch l.stage {
+	case heading:
+		l.stage = done
+		if c.in.Partial() {
+			r.BadHeads++
+		}
+	case placing:
+		r.Unwanted++
+		r.table.Balancer.Vanished(&l.Link.Link)
+		r.leaveHand(l)
+	case resuming:
+		r.Unwanted++
+		if l.server != nil {
+			r.forget(l.server, how)
+		}
+		r.leaveHand(l)
+	case trying:
+		r.Unwanted++
+		r.table.Balancer.Vanished(&l.Link.Link)
+		if r.mayCancel || !l.server.up {
+			r.tryOver(l, ClientBroke)
+		}
+	case standing:
+		if broken {
+			r.finish(l, ClientBroke, how)
+		} else {
+			r.finish(l, ClientDone, how)
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/sockets.go
@@ -0,0 +1,364 @@
+package relay
+
+// This file owns the sockets: it carries the reducer's effects out on lesismal/nbio and turns its callbacks into
+// events, one after the other under one lock. It must never decide anything, nor know what the bytes mean.
+//
+// Where nbio 1.6.8 falls short (docs/architecture.md has the probes): its DialAsync gives no connection until that
+// is up and says nothing of one that never is, so net.Dialer dials and nbio takes over; its Writev keeps nothing
+// of what follows the first piece that the kernel did not take whole, so what is left goes by Write; its OnData
+// tells a reset that follows data as an end, so OnRead reads here.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+const (
+	readPiece  = 16 << 10
+	mostUnread = 64 << 10 // written but not taken by a peer, above which it is a slow reader and cut off
+	dialWait   = 10 * time.Second
+	lastWrites = 200 * time.Millisecond
+	acceptGap  = 20 * time.Millisecond
+)
+
+// socket is a connection that nbio holds.
+type socket struct {
+	conn    uint64
+	nb      *nbio.Conn
+	unsent  atomic.Int64 // bytes written to nbio that the kernel has not taken
+	closing atomic.Bool  // once that is none
+}
+
+// Sockets runs one relay.
+type Sockets struct {
+	log       *slog.Logger
+	reducer   *Reducer
+	discovery *discovery
+	engine    *nbio.Engine
+
+	base    time.Time
+	baseMS  float64
+	mutex   sync.Mutex // over all below, and the reducer
+	open    map[uint64]*socket
+	dialing map[uint64]context.CancelFunc
+	timer   *time.Timer
+	waiting []Event // that effects led to
+	parts   [][]byte
+	quit    chan struct{}
+}
+
+// Serve runs the relay until it has stopped. Stop and print bring the signals.
+func Serve(t *Told, log *slog.Logger, stop, print <-chan struct{}) error {
+	now := time.Now()
+	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
+		dialing: map[uint64]context.CancelFunc{}, quit: make(chan struct{})}
+	reducer, err := New(s.baseMS, t.Seed, t.Settings, t.Sockets, t.Known)
+	if err != nil {
+		return err
+	}
+	s.reducer = reducer
+	s.discovery = newDiscovery(t.Discovery, s.take)
+	s.timer = time.AfterFunc(time.Hour, func() { s.take(Event{Kind: Tick}) })
+	logging.SetLogger(nbioLog{log})
+	if t.Sockets > 0 {
+		nbio.MaxOpenFiles = max(t.Sockets, 64)
+	}
+	listener, err := net.Listen("tcp", t.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	s.engine = nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: readPiece, MaxWriteBufferSize: mostUnread})
+	buffer := make([]byte, readPiece) // one poller reads, so one buffer serves all
+	s.engine.OnRead(func(c *nbio.Conn) { s.read(c, buffer) })
+	s.engine.OnClose(s.closed)
+	s.engine.OnWrittenSize(s.written)
+	if err := s.engine.Start(); err != nil {
+		return fmt.Errorf("poll: %w", err)
+	}
+	s.take(Event{Kind: Tick})
+	go s.accept(listener)
+	log.Info("serving", "name", t.Name, "listen", t.Listen, "backends", len(t.Known.Entries))
+	for {
+		select {
+		case <-stop:
+			log.Info("stopping")
+			s.take(Event{Kind: Stop})
+			stop = nil
+		case <-print:
+			s.counters("asked")
+		case <-s.quit:
+			s.drain()
+			s.counters("exit")
+			return nil
+		}
+	}
+}
+
+func (s *Sockets) counters(why string) {
+	s.mutex.Lock()
+	c := s.reducer.Counters
+	s.mutex.Unlock()
+	c.Log(s.log, why)
+}
+
+// drain waits for what was written last to be taken.
+func (s *Sockets) drain() {
+	for until := time.Now().Add(lastWrites); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		left := int64(0)
+		s.mutex.Lock()
+		for _, c := range s.open {
+			left += c.unsent.Load()
+		}
+		s.mutex.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+}
+
+// now is the clock that all machines read, held straight by this machine's monotonic one.
+func (s *Sockets) now() float64 {
+	return s.baseMS + float64(time.Since(s.base))/float64(time.Millisecond)
+}
+
+// take gives the reducer one event, and carries out what follows. No callback runs beside it.
+func (s *Sockets) take(e Event) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.carryOut(s.reducer.Take(s.now(), e))
+	for len(s.waiting) > 0 {
+		e := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.carryOut(s.reducer.Take(s.now(), e))
+	}
+}
+
+func (s *Sockets) carryOut(effects []Effect) {
+	for i := 0; i < len(effects); i++ {
+		switch e := effects[i]; e.Do {
+		case Dial:
+			s.dial(e.Conn, e.Text)
+		case Write:
+			// Lines that go to one connection in a row go out together.
+			s.parts = append(s.parts[:0], e.Parts...)
+			for ; i+1 < len(effects) && effects[i+1].Do == Write && effects[i+1].Conn == e.Conn; i++ {
+				s.parts = append(s.parts, effects[i+1].Parts...)
+			}
+			s.write(e.Conn, s.parts)
+		case End, Break:
+			s.end(e.Conn, e.Do)
+		case Arm:
+			s.timer.Reset(time.Duration(max(e.At-s.now(), 0) * float64(time.Millisecond)))
+		case Watch:
+			s.discovery.watch(e.Conn, e.After)
+		case Unwatch:
+			s.discovery.stop()
+		case Note:
+			s.log.Info(e.Text, e.Args...)
+		case Quit:
+			close(s.quit)
+		}
+	}
+}
+
+// accept takes clients in. It waits where there is none to be had, against spinning without descriptors; nbio's
+// own listener asks again at once.
+func (s *Sockets) accept(listener net.Listener) {
+	for conn := uint64(1); ; conn++ {
+		plain, err := listener.Accept()
+		if err != nil {
+			time.Sleep(acceptGap)
+			continue
+		}
+		s.hold(conn, plain, Opened)
+	}
+}
+
+// dial connects beside the reducer. A connection that comes up after it was given up is dropped here.
+func (s *Sockets) dial(conn uint64, address string) {
+	ctx, stop := context.WithTimeout(context.Background(), dialWait)
+	s.dialing[conn] = stop
+	go func() {
+		defer stop()
+		dialer := net.Dialer{KeepAlive: -1}
+		plain, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			s.mutex.Lock()
+			delete(s.dialing, conn)
+			s.mutex.Unlock()
+			s.take(Event{Kind: Over, Conn: conn, Broken: true, Err: err})
+			return
+		}
+		s.hold(conn, plain, Up)
+	}()
+}
+
+// hold gives a connection to nbio, unless it was given up meanwhile. A client's is told of before its first bytes
+// can be; one that was dialed when it can be written to.
+func (s *Sockets) hold(conn uint64, plain net.Conn, kind Kind) {
+	nb, err := nbio.NBConn(plain)
+	if err != nil {
+		plain.Close()
+		if kind == Up {
+			s.take(Event{Kind: Over, Conn: conn, Broken: true, Err: err})
+		}
+		return
+	}
+	c := &socket{conn: conn, nb: nb}
+	nb.SetSession(c)
+	s.mutex.Lock()
+	if _, wanted := s.dialing[conn]; kind == Up && !wanted {
+		s.mutex.Unlock()
+		nb.Close()
+		return
+	}
+	delete(s.dialing, conn)
+	s.open[conn] = c
+	s.mutex.Unlock()
+	if kind == Opened {
+		s.take(Event{Kind: kind, Conn: conn})
+	}
+	s.mutex.Lock()
+	if s.open[conn] == c { // against handing over a descriptor that was closed since
+		_, err = s.engine.AddConn(nb)
+	}
+	s.mutex.Unlock()
+	if err != nil {
+		s.take(Event{Kind: Over, Conn: conn, Broken: true, Err: err})
+	} else if kind == Up {
+		s.take(Event{Kind: kind, Conn: conn})
+	}
+}
+
+// read takes in what there is, to the end or the reset behind it.
+func (s *Sockets) read(nb *nbio.Conn, buffer []byte) {
+	c := nb.Session().(*socket)
+	for {
+		n, err := nb.Read(buffer)
+		switch {
+		case n > 0:
+			s.take(Event{Kind: Came, Conn: c.conn, Data: buffer[:n]})
+			if n < len(buffer) && err == nil {
+				continue // an end may stand behind it
+			}
+		case err == nil:
+			nb.CloseWithError(io.EOF)
+			return
+		case errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		default:
+			nb.CloseWithError(err)
+			return
+		}
+	}
+}
+
+// closed comes from a goroutine of nbio's that swallows panics, so the reducer is told from another.
+func (s *Sockets) closed(nb *nbio.Conn, err error) {
+	c, ok := nb.Session().(*socket)
+	if !ok {
+		return
+	}
+	go func() {
+		s.mutex.Lock()
+		delete(s.open, c.conn)
+		s.mutex.Unlock()
+		s.take(Event{Kind: Over, Conn: c.conn, Broken: err != nil && !errors.Is(err, io.EOF),
+			Unsent: c.unsent.Load() > 0, Err: err})
+	}()
+}
+
+// write hands all parts over at once; what the kernel does not take stays with nbio, within its bound.
+func (s *Sockets) write(conn uint64, parts [][]byte) {
+	c := s.open[conn]
+	if c == nil {
+		return
+	}
+	size := 0
+	for _, p := range parts {
+		size += len(p)
+	}
+	if len(parts) == 1 || c.unsent.Load() > 0 {
+		for _, p := range parts {
+			s.writeOne(c, p)
+		}
+		return
+	}
+	n, err := c.nb.Writev(parts)
+	if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
+		c.unsent.Add(int64(size))
+		return
+	}
+	if n >= size {
+		return
+	}
+	// nbio counted the n bytes and kept the rest of the piece they end in; the pieces after it are given again.
+	c.unsent.Add(int64(n))
+	for _, p := range parts {
+		switch {
+		case n >= len(p):
+			n -= len(p)
+		case n > 0:
+			c.unsent.Add(int64(len(p) - n))
+			n = 0
+		default:
+			s.writeOne(c, p)
+		}
+	}
+}
+
+func (s *Sockets) writeOne(c *socket, p []byte) {
+	c.unsent.Add(int64(len(p)))
+	c.nb.Write(p) // an error closes it, and is told by that
+}
+
+// written is told what the kernel took; nbio holds its connection's lock meanwhile.
+func (s *Sockets) written(nb *nbio.Conn, _ []byte, n int) {
+	c, ok := nb.Session().(*socket)
+	if ok && c.unsent.Add(int64(-n)) == 0 && c.closing.Load() {
+		go nb.Close()
+	}
+}
+
+func (s *Sockets) end(conn uint64, how Do) {
+	if stop := s.dialing[conn]; stop != nil {
+		delete(s.dialing, conn)
+		stop()
+		return
+	}
+	c := s.open[conn]
+	switch {
+	case c == nil:
+	case how == Break:
+		delete(s.open, conn)
+		c.nb.SetLinger(1, 0)
+		c.nb.Close()
+	default:
+		c.closing.Store(true)
+		if c.unsent.Load() == 0 {
+			delete(s.open, conn)
+			c.nb.Close()
+		}
+	}
+}
+
+// nbioLog passes on what nbio logs, less its chatter.
+type nbioLog struct{ log *slog.Logger }
+
+func (nbioLog) SetLevel(int)                    {}
+func (nbioLog) Debug(string, ...any)            {}
+func (nbioLog) Info(string, ...any)             {}
+func (l nbioLog) Warn(format string, v ...any)  { l.log.Warn(fmt.Sprintf(format, v...)) }
+func (l nbioLog) Error(format string, v ...any) { l.log.Error(fmt.Sprintf(format, v...)) }
--- /dev/null
+++ b/internal/relay/standing.go
@@ -0,0 +1,238 @@
+package relay
+
+// This file is the part of the reducer for links that stand: lines passed on both ways, silence, and sending
+// clients elsewhere before their backend or this relay goes away. It must never move a link to even out load, hold
+// a whole line back, or place a link.
+
+import (
+	"cmp"
+	"slices"
+
+	"valeshift/internal/lines"
+	"valeshift/logic"
+)
+
+const (
+	silence    = 6000.0  // of a backend that lines are sent to: a second under the protocol's bound
+	idleClient = 20000.0 // ten of a client's lines missed
+	endTime    = 500.0   // for the end of a connection after BYE or MOVE; the protocol's bound is a second
+	lastComers = 500.0   // clients still come for this long after a stop begins
+	drainOver  = 1500.0  // over which the clients of a backend that leaves are told
+	stopOver   = 1500.0  // and those of a relay that stops
+	stopWait   = 3000.0  // the longest of a hard limit that a stop waits for
+)
+
+// resume asks the backend that has the link already.
+func (r *Reducer) resume(l *link) {
+	l.stage = resuming
+	l.giveUp = r.now + resumeTime
+	r.resumeTry(l)
+}
+
+func (r *Reducer) resumeTry(l *link) {
+	b := r.backends[string(l.head.At)]
+	if b == nil || b.Address == "" {
+		r.resumeLater(l)
+		return
+	}
+	l.server = r.dial(b, l)
+	l.server.wait.fire = func() { r.tryOver(l, NeverUp) }
+	r.arm(&l.server.wait, min(r.now+4*r.connectTime, l.giveUp))
+}
+
+// resumeLater tries again, as a link that stood is lost if its backend isn't found; at the end it is an error.
+func (r *Reducer) resumeLater(l *link) {
+	if r.now+resumeGap >= l.giveUp {
+		r.Carry(l, logic.Answer{Verdict: logic.Fail})
+		return
+	}
+	l.quiet.fire = func() { r.resumeTry(l) }
+	r.arm(&l.quiet, r.now+resumeGap)
+}
+
+// stand takes that the backend has the link.
+func (r *Reducer) stand(l *link, line []byte) {
+	c := l.server
+	r.disarm(&c.wait)
+	if l.client == nil { // gone, with a setup try that might not be called off
+		r.Endings[ClientBroke]++
+		r.leaveHand(l)
+		r.forget(c, End)
+		r.table.After(r.now, l, ClientBroke.outcome(), true)
+		return
+	}
+	if l.stage == resuming {
+		r.Resumed++
+		r.table.Balancer.Resumed(r.now, &l.Link.Link, c.backend.id)
+	} else {
+		r.Satisfied++
+		r.table.Balancer.Accepted(r.now, &l.Link.Link)
+	}
+	l.quiet.fire = func() { r.move(l, FellSilent) }
+	l.stage = standing
+	r.Standing++
+	l.place = len(c.backend.links)
+	c.backend.links = append(c.backend.links, l)
+	r.write(l.client, line)
+	l.client.wait.fire = func() { r.move(l, MovedAway) }
+	r.arm(&l.client.wait, r.now+idleClient)
+	if len(l.early) > 0 {
+		r.toServer(l, l.early)
+	}
+	l.head, l.early = lines.Head{}, nil
+	if r.stopping {
+		r.arm(&l.leave, max(r.now, r.stopAt+lastComers))
+	} else if c.backend.condition != logic.Ready {
+		r.arm(&l.leave, r.now)
+	}
+}
+
+func (r *Reducer) toServer(l *link, data []byte) {
+	r.LinesIn++
+	r.write(l.server, data)
+	r.arm(&l.client.wait, r.now+idleClient)
+	if l.quiet.place == 0 {
+		r.arm(&l.quiet, r.now+silence)
+	}
+}
+
+// fromServer passes whole lines on, so that a line of the relay's own always falls between two of them.
+func (r *Reducer) fromServer(l *link, data []byte) {
+	for len(data) > 0 && l.stage == standing {
+		line, rest, err := l.server.in.Next(data)
+		if err != nil {
+			r.note("line too long from a backend", "backend", l.server.backend.Name)
+			r.finish(l, BadAnswer, Break)
+			return
+		}
+		if line == nil || l.ending {
+			return
+		}
+		data = rest
+		r.disarm(&l.quiet)
+		r.LinesOut++
+		r.write(l.client, line)
+		switch verb, said := lines.Verb(line); string(verb) {
+		case "LOAD":
+			if load, ok := lines.Load(said); ok {
+				r.table.Balancer.Weighed(&l.Link.Link, load)
+			}
+		case "BYE":
+			if r.reports {
+				r.reported(l.server.backend, said)
+			}
+			r.endsSoon(l, ServedOut)
+		case "MOVE":
+			r.endsSoon(l, SentAway)
+		}
+	}
+}
+
+// endsSoon takes the backend's word that the link is over. What it sends after that is dropped.
+func (r *Reducer) endsSoon(l *link, how Ending) {
+	l.last, l.ending = how, true
+	l.quiet.fire = func() { r.finish(l, how, End) }
+	r.arm(&l.quiet, r.now+endTime)
+}
+
+func (r *Reducer) serverOver(l *link, broken bool) {
+	switch {
+	case l.ending:
+		r.finish(l, l.last, End)
+	case broken:
+		r.finish(l, BrokeUp, Break)
+	default:
+		r.finish(l, BrokeUp, End)
+	}
+}
+
+// finish ends a link that stood, on whichever sides are still open.
+func (r *Reducer) finish(l *link, how Ending, both Do) {
+	r.Endings[how]++
+	r.Standing--
+	b := l.server.backend
+	last := len(b.links) - 1
+	b.links[l.place] = b.links[last]
+	b.links[l.place].place = l.place
+	b.links[last], b.links = nil, b.links[:last]
+	r.leaveHand(l)
+	if l.client != nil {
+		r.forget(l.client, both)
+	}
+	r.forget(l.server, both)
+	r.table.After(r.now, l, how.outcome(), true)
+}
+
+// move has the client come again elsewhere.
+func (r *Reducer) move(l *link, why Ending) {
+	r.Pushed++
+	r.write(l.client, []byte("MOVE\r\n"))
+	r.finish(l, why, End)
+}
+
+// moveAll tells clients to come again, one after the other, so that they don't all come at once.
+func (r *Reducer) moveAll(links []*link, from, over float64) {
+	for i, l := range links {
+		at := from + over*float64(i)/float64(len(links))
+		if l.leave.place == 0 || l.leave.at > at {
+			r.arm(&l.leave, at)
+		}
+	}
+}
+
+// stop begins the relay's planned stop: what comes is served, what stands is moved once clients are dealt
+// elsewhere, and all is answered before the kill can come.
+func (r *Reducer) stop() {
+	if r.stopping {
+		return
+	}
+	r.stopping, r.stopAt = true, r.now
+	var all []*link
+	for _, c := range r.clients() {
+		if c.link.stage == standing {
+			all = append(all, c.link)
+		}
+	}
+	r.moveAll(all, r.now+lastComers, stopOver)
+	wait := timer{fire: func() {}}
+	r.arm(&wait, r.now+lastComers) // a look at whether all is done
+	r.final.fire = r.stopNow
+	r.arm(&r.final, r.now+min(r.longest, stopWait)+lastComers)
+}
+
+// stopNow answers and moves whatever is left.
+func (r *Reducer) stopNow() {
+	for _, c := range r.clients() {
+		switch l := c.link; l.stage {
+		case heading:
+			r.forget(c, End)
+		case standing:
+			r.move(l, MovedAway)
+		case resuming:
+			if l.server != nil {
+				r.forget(l.server, End)
+			}
+			r.Carry(l, logic.Answer{Verdict: logic.Fail})
+		case trying:
+			l.Limit = r.now // so that the module gives it up
+			r.tryOver(l, NoAnswer)
+		case placing:
+			l.Limit = r.now
+			r.table.Place(r.now, l)
+		}
+	}
+	r.quit = true
+	r.do(Effect{Do: Quit})
+}
+
+// clients are the clients' connections in the order they came.
+func (r *Reducer) clients() []*end {
+	var all []*end
+	for _, c := range r.ends {
+		if c.backend == nil {
+			all = append(all, c)
+		}
+	}
+	slices.SortFunc(all, func(a, b *end) int { return cmp.Compare(a.conn, b.conn) })
+	return all
+}
