Tests of the relay: the reducer by tables, the program over loopback; slow readers named

The reducer is tested by tables of events and effects: every ending of a setup try, heads, standing links, drains, stops, descriptors, the watch and probes.

Seen: the race detector named the hand-over of a new connection to nbio's poller, as nbio orders nothing between its goroutines (sockets.go, read); it now takes the lock the hand-over was made under. A slow reader was counted as a client that broke; it has an ending of its own.

--- /dev/null
+++ b/cmd/valeshift/helpers_test.go
@@ -0,0 +1,326 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	soon   = 10 * time.Second // for what has to come
+	little = 300 * time.Millisecond
+)
+
+var program string
+
+// The program is built once, with the race detector, which makes it exit with 66 after a race.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "valeshift")
+	if err == nil {
+		program = filepath.Join(dir, "valeshift")
+		var said []byte
+		if said, err = exec.Command("go", "build", "-race", "-o", program, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, said)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// peer is one end of a connection, read line by line.
+type peer struct {
+	*net.TCPConn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func newPeer(t *testing.T, c net.Conn) *peer {
+	t.Cleanup(func() { c.Close() })
+	return &peer{TCPConn: c.(*net.TCPConn), t: t, in: bufio.NewReader(c)}
+}
+
+func (p *peer) say(lines ...string) {
+	p.t.Helper()
+	_, err := p.Write([]byte(strings.Join(lines, "\r\n") + "\r\n"))
+	require.NoError(p.t, err)
+}
+
+// hear gives the next line, or "end" or "reset".
+func (p *peer) hear() string {
+	p.t.Helper()
+	p.SetReadDeadline(time.Now().Add(soon))
+	line, err := p.in.ReadString('\n')
+	switch {
+	case err == nil:
+		return strings.TrimSuffix(line, "\r\n")
+	case os.IsTimeout(err):
+		require.NoError(p.t, err)
+	case strings.Contains(err.Error(), "reset"):
+		return "reset"
+	}
+	return line + "end"
+}
+
+func (p *peer) reset() {
+	p.SetLinger(0)
+	p.Close()
+}
+
+// backend is a stand-in that answers probes by itself and hands the test every link that comes.
+type backend struct {
+	t       *testing.T
+	name    string
+	address string
+	links   chan *peer
+	heads   chan string
+	probed  chan struct{}
+	stop    func()
+}
+
+func newBackend(t *testing.T, name string) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &backend{t: t, name: name, address: l.Addr().String(), links: make(chan *peer, 1000),
+		heads: make(chan string, 1000), probed: make(chan struct{}, 1000), stop: func() { l.Close() }}
+	t.Cleanup(b.stop)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(newPeer(t, c))
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(p *peer) {
+	for {
+		line, err := p.in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if line == "STATS\r\n" {
+			b.probed <- struct{}{}
+			p.Write([]byte("PONG util=0.1,qps=1,x0=0.1\r\n"))
+			continue
+		}
+		b.heads <- strings.TrimSuffix(line, "\r\n")
+		b.links <- p
+		return
+	}
+}
+
+// link waits for the next link to come, and gives its head.
+func (b *backend) link() (*peer, string) {
+	b.t.Helper()
+	select {
+	case head := <-b.heads:
+		return <-b.links, head
+	case <-time.After(soon):
+		require.Fail(b.t, "no link came to "+b.name)
+		return nil, ""
+	}
+}
+
+// list is a stand-in for discovery.
+type list struct {
+	mutex   sync.Mutex
+	index   int
+	entries []string
+	status  int // of the next calls, where not 0
+	calls   int
+	changed chan struct{}
+}
+
+func (l *list) entry(name, address, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"hall","type":"m","group":0,"status":%q,"weight":1,"since_ms":0}`,
+		name, address, status)
+}
+
+// set changes the list and has all watches told.
+func (l *list) set(entries ...string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.index++
+	l.entries = entries
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *list) text() (string, <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s]}`, l.index, strings.Join(l.entries, ",")), l.changed
+}
+
+func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mutex.Lock()
+	l.calls++
+	status := l.status
+	l.mutex.Unlock()
+	if status != 0 {
+		w.WriteHeader(status)
+		return
+	}
+	for {
+		text, changed := l.text()
+		fmt.Fprintf(w, "%s\n", text)
+		w.(http.Flusher).Flush()
+		for quiet := true; quiet; {
+			select {
+			case <-changed:
+				quiet = false
+			case <-time.After(2 * time.Second):
+				fmt.Fprint(w, "\n")
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+}
+
+// process is the program, started.
+type process struct {
+	t       *testing.T
+	cmd     *exec.Cmd
+	address string
+	mutex   sync.Mutex
+	said    bytes.Buffer
+	done    chan struct{}
+	list    *list
+}
+
+const told = `{"replicas-of-me":1,"zone":0,"localities":["hall"],"discovery":"subscribe",
+	"categories":[{"name":"feed","promised-time-ms":300,"hard-limit-ms":2000,"gain":1,"effect":"idempotent"}],
+	"parties":[{"name":"one"}],"family-info":{"tenant-quota-connections":[100]},
+	"stats":{"how":"probe","fields":["cpu","rps","x0"]},
+	"contract":{"ask-within-ms":10000,"cold-from":0.2,"cold-ms":9000,"fall-ms":2000,"tip-multiple":3},
+	"limits":{"probes":true,"retry-after":true,"max-retry-after-ms":900,"most-setup-tries":3,"connect-timeout-ms":250,
+		"may-cancel":true}}`
+
+// start starts a relay whose list has the backends given; sockets is its limit on descriptors.
+func start(t *testing.T, sockets int, backends ...*backend) *process {
+	t.Helper()
+	l := &list{index: 1, changed: make(chan struct{})}
+	for _, b := range backends {
+		l.entries = append(l.entries, l.entry(b.name, b.address, "active"))
+	}
+	server := httptest.NewServer(l)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	known, _ := l.text()
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
+		"discovery": strings.TrimPrefix(server.URL, "http://"), "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
+		"known":  json.RawMessage(known), "settings": json.RawMessage(told)})
+	require.NoError(t, err)
+	r := run(t, string(config))
+	r.list = l
+	found := r.wait(`msg=serving .*listen=(\S+)`)
+	require.NotNil(t, found, "not serving: %s", r.text())
+	r.address = found[1]
+	return r
+}
+
+// run starts the program on a configuration.
+func run(t *testing.T, config string) *process {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
+	r := &process{t: t, cmd: exec.Command(program), done: make(chan struct{})}
+	r.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_DISCOVERY=")
+	r.cmd.Stderr = r
+	require.NoError(t, r.cmd.Start())
+	go func() {
+		r.cmd.Wait()
+		close(r.done)
+	}()
+	t.Cleanup(func() {
+		r.cmd.Process.Kill()
+		<-r.done
+		require.NotContains(t, r.text(), "DATA RACE")
+		require.NotContains(t, r.text(), "panic:")
+	})
+	return r
+}
+
+func (r *process) Write(p []byte) (int, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.said.Write(p)
+}
+
+func (r *process) text() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.said.String()
+}
+
+// wait waits for the log to say something.
+func (r *process) wait(pattern string) []string {
+	r.t.Helper()
+	want := regexp.MustCompile(pattern)
+	for until := time.Now().Add(soon); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if found := want.FindStringSubmatch(r.text()); found != nil {
+			return found
+		}
+	}
+	require.Fail(r.t, "log without "+pattern, r.text())
+	return nil
+}
+
+func (r *process) dial() *peer {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.address)
+	require.NoError(r.t, err)
+	return newPeer(r.t, c)
+}
+
+// stands brings one link to stand, and gives both its sides.
+func (r *process) stands(b *backend) (client, server *peer) {
+	r.t.Helper()
+	client = r.dial()
+	client.say("OPEN 9b1f 7f3a c=feed,t=one,d=2000")
+	server, _ = b.link()
+	server.say("UP receipt")
+	require.Equal(r.t, "UP receipt", client.hear())
+	return client, server
+}
+
+// exit waits for the program's end.
+func (r *process) exit() int {
+	r.t.Helper()
+	select {
+	case <-r.done:
+	case <-time.After(soon):
+		require.Fail(r.t, "still running", r.text())
+	}
+	return r.cmd.ProcessState.ExitCode()
+}
+
+func (r *process) signal(s syscall.Signal) { require.NoError(r.t, r.cmd.Process.Signal(s)) }
--- /dev/null
+++ b/cmd/valeshift/main_test.go
@@ -0,0 +1,271 @@
+package main
+
+import (
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestOneLink(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 0, b)
+	front := r.dial()
+	front.say("PING")
+	assert.Equal(t, "PONG", front.hear())
+
+	client := r.dial()
+	client.say("OPEN 9b1f 7f3a c=feed,t=one,d=2000,g=5c", "too early")
+	server, head := b.link()
+	assert.Regexp(t, `^OPEN 9b1f 7f3a c=feed,t=one,d=19\d\d,g=5c$`, head)
+	server.say("UP receipt", "LOAD 700")
+	assert.Equal(t, "too early", server.hear())
+	client.say("one", "two")
+	assert.Equal(t, []string{"UP receipt", "LOAD 700"}, []string{client.hear(), client.hear()})
+	assert.Equal(t, []string{"one", "two"}, []string{server.hear(), server.hear()})
+	server.say("BYE")
+	server.Close()
+	assert.Equal(t, []string{"BYE", "end"}, []string{client.hear(), client.hear()})
+
+	r.signal(syscall.SIGUSR1)
+	said := r.wait(`msg=counters why=asked .*`)[0]
+	for _, want := range []string{"in.pings=1", "in.heads=1", "sent.tries=1", "answered.satisfied=1",
+		`"endings.served out"=1`, "sockets.standing=0"} {
+		assert.Contains(t, said, want)
+	}
+	r.signal(syscall.SIGTERM)
+	assert.Zero(t, r.exit(), r.text())
+	r.wait(`msg=counters why=exit .*`)
+}
+
+func TestEndsGoOnInKind(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 0, b)
+	for _, c := range []struct {
+		name string
+		act  func(client, server *peer) string
+		want string
+	}{
+		{"client ends", func(client, server *peer) string { client.Close(); return server.hear() }, "end"},
+		{"client breaks", func(client, server *peer) string { client.reset(); return server.hear() }, "reset"},
+		{"backend ends", func(client, server *peer) string { server.Close(); return client.hear() }, "end"},
+		{"backend breaks", func(client, server *peer) string { server.reset(); return client.hear() }, "reset"},
+		// Against an end told for a reset that stands right behind a line.
+		{"backend breaks behind a line", func(client, server *peer) string {
+			server.say("last")
+			server.reset()
+			first := client.hear()
+			if first == "last" {
+				first = client.hear()
+			}
+			return first
+		}, "reset"},
+	} {
+		client, server := r.stands(b)
+		from := time.Now()
+		assert.Equal(t, c.want, c.act(client, server), c.name)
+		assert.Less(t, time.Since(from), time.Second, c.name)
+	}
+}
+
+func TestTriesOneAfterTheOther(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		act  func(*peer)
+	}{
+		{"turned down", func(p *peer) { p.say("BUSY") }},
+		{"error", func(p *peer) { p.say("ERR") }},
+		{"nonsense", func(p *peer) { p.say("WHAT") }},
+		{"over-long", func(p *peer) { p.say(strings.Repeat("x", 5000)) }},
+		{"ended", func(p *peer) { p.Close() }},
+		{"broken", func(p *peer) { p.reset() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b1, b2 := newBackend(t, "b1"), newBackend(t, "b2")
+			r := start(t, 0, b1, b2)
+			client := r.dial()
+			client.say("OPEN 9b1f 7f3a c=feed,t=one,d=2000")
+			next := b2
+			var p *peer
+			select {
+			case <-b1.heads:
+				p = <-b1.links
+			case <-b2.heads:
+				p, next = <-b2.links, b1
+			case <-time.After(soon):
+				require.Fail(t, "no try")
+			}
+			c.act(p)
+			server, _ := next.link()
+			server.say("UP again")
+			assert.Equal(t, "UP again", client.hear())
+		})
+	}
+}
+
+func TestBadClients(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 0, b)
+	for _, line := range []string{"GET / HTTP/1.1", "OPEN 1 2 c=nothing,d=2000", "OPEN 1 2 c=feed,d=2000,d=3", "OPEN 1 2 c=feed,d=x",
+		strings.Repeat("x", 4096)} {
+		client := r.dial()
+		client.say(line)
+		assert.Equal(t, "ERR", client.hear(), line[:8])
+		assert.NotEqual(t, "ERR", client.hear(), "closed")
+	}
+	half := r.dial()
+	half.Write([]byte("OPEN 1 2 c=fe"))
+	half.CloseWrite()
+	assert.Equal(t, "end", half.hear(), "an end in mid-line")
+	client := r.dial()
+	client.say("OPEN 1 2 c=feed,t=one,d=600")
+	server, _ := b.link()
+	from := time.Now()
+	assert.Regexp(t, `^BUSY`, client.hear(), "a backend that says nothing")
+	assert.Less(t, time.Since(from), 650*time.Millisecond)
+	assert.Equal(t, "end", server.hear())
+	assert.Empty(t, b.heads, "nothing else was sent on")
+}
+
+func TestPlannedStop(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 0, b)
+	client, server := r.stands(b)
+	client.say("one")
+	assert.Equal(t, "one", server.hear())
+	late := r.dial()
+	from := time.Now()
+	r.signal(syscall.SIGTERM)
+	r.wait("msg=stopping")
+	late.say("OPEN 1 2 c=feed,t=one,d=2000")
+	other, _ := b.link()
+	other.say("UP late")
+	assert.Equal(t, []string{"UP late", "MOVE", "end"}, []string{late.hear(), late.hear(), late.hear()})
+	assert.Equal(t, []string{"MOVE", "end"}, []string{client.hear(), client.hear()})
+	assert.Equal(t, "end", server.hear())
+	assert.Zero(t, r.exit(), r.text())
+	assert.Less(t, time.Since(from), 3500*time.Millisecond)
+	r.wait(`answered.moved=2`)
+}
+
+func TestKilledAndStartedAgain(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 0, b)
+	client, server := r.stands(b)
+	r.signal(syscall.SIGKILL)
+	r.exit()
+	assert.Equal(t, []string{"end", "end"}, []string{client.hear(), server.hear()}, "nothing is left half open")
+	again := start(t, 0, b)
+	before := again.dial()
+	before.say("OPEN 9b1f 7f3a c=feed,t=one,d=2000,at=b1")
+	server, head := b.link()
+	assert.Equal(t, "OPEN 9b1f 7f3a c=feed,t=one,d=2000,at=b1", head)
+	server.say("UP receipt")
+	assert.Equal(t, "UP receipt", before.hear())
+	again.stands(b)
+}
+
+func TestBackendLeaves(t *testing.T) {
+	b1, b2 := newBackend(t, "b1"), newBackend(t, "b2")
+	r := start(t, 0, b1)
+	client, server := r.stands(b1)
+	server.Write([]byte("half a li"))
+	r.list.set(r.list.entry("b1", b1.address, "leaving"), r.list.entry("b2", b2.address, "active"))
+	assert.Equal(t, []string{"MOVE", "end"}, []string{client.hear(), client.hear()}, "between two lines")
+	r.stands(b2)
+}
+
+func TestDescriptorsRunOut(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 40, b) // 32 of them are the relay's own
+	<-b.probed           // that connection counts too
+	var clients, servers []*peer
+	for range 3 {
+		client, server := r.stands(b)
+		clients, servers = append(clients, client), append(servers, server)
+	}
+	full := r.dial()
+	full.say("OPEN 1 2 c=feed,t=one,d=2000")
+	assert.Equal(t, []string{"BUSY 900", "end"}, []string{full.hear(), full.hear()})
+	refused := 0
+	for range 20 {
+		c, err := net.Dial("tcp", r.address)
+		if err == nil {
+			p := newPeer(t, c)
+			p.Write([]byte("PING\r\n"))
+			err = map[bool]error{true: nil, false: io.EOF}[p.hear() == "PONG"]
+		}
+		if err != nil {
+			refused++
+		}
+	}
+	assert.Equal(t, 19, refused, "one place was left")
+	clients[0].say("still here")
+	assert.Equal(t, "still here", servers[0].hear())
+	clients[0].Close()
+	assert.Equal(t, "end", servers[0].hear())
+	r.stands(b)
+}
+
+// Against a reader that takes nothing in filling the relay's memory.
+func TestSlowReader(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 0, b)
+	_, server := r.stands(b)
+	line := []byte(strings.Repeat("x", 4000) + "\r\n")
+	server.SetWriteDeadline(time.Now().Add(soon))
+	sent, err := 0, error(nil)
+	for ; sent < 64<<20 && err == nil; sent += len(line) {
+		_, err = server.Write(line)
+	}
+	assert.ErrorContains(t, err, "reset", "cut off after %d bytes", sent)
+	r.signal(syscall.SIGUSR1)
+	r.wait(`"endings.slow reader"=1`)
+}
+
+func TestDiscoveryDown(t *testing.T) {
+	b := newBackend(t, "b1")
+	r := start(t, 0, b)
+	r.stands(b)
+	r.list.mutex.Lock()
+	r.list.status = 503
+	r.list.mutex.Unlock()
+	r.list.set("{") // ends the watch with broken JSON
+	r.wait(`msg="watch failed" why="list: `)
+	r.wait(`msg="watch failed" why="watch: status 503"`)
+	r.stands(b)
+	r.list.mutex.Lock()
+	r.list.status = 0
+	r.list.mutex.Unlock()
+	b2 := newBackend(t, "b2")
+	r.list.set(r.list.entry("b2", b2.address, "active"))
+	server, _ := func() (*peer, string) {
+		for until := time.Now().Add(soon); ; time.Sleep(little) {
+			client := r.dial()
+			client.say("OPEN 1 2 c=feed,t=one,d=2000")
+			select {
+			case head := <-b2.heads:
+				return <-b2.links, head
+			case <-b.heads:
+				(<-b.links).Close()
+			case <-time.After(little):
+			}
+			require.True(t, time.Now().Before(until), r.text())
+		}
+	}()
+	server.say("UP found")
+}
+
+func TestBadConfiguration(t *testing.T) {
+	for text, field := range map[string]string{`{`: "config.json", `{"name":"n"}`: "listen",
+		`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{}}`: "settings: "} {
+		r := run(t, text)
+		assert.Equal(t, 1, r.exit(), text)
+		assert.Contains(t, r.text(), field)
+	}
+}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -113,8 +113,13 @@
 		}
 		at += len(pair) + 1
 	}
-	if len(h.Category) == 0 || h.before == nil {
-		return h, errors.New("head: c and d expected")
+	if h.before == nil && len(h.At) > 0 {
+		h.after = line
+	} else if h.before == nil {
+		return h, errors.New("head: d expected")
+	}
+	if len(h.Category) == 0 {
+		return h, errors.New("head: c expected")
 	}
 	return h, nil
 }
@@ -142,6 +147,9 @@
 
 // Out is the head as it goes on, in pieces to be written together: unchanged but for the wait.
 func (h *Head) Out(wait float64) [][]byte {
+	if h.before == nil {
+		return [][]byte{h.after}
+	}
 	return [][]byte{h.before, strconv.AppendInt(nil, int64(max(wait, 0)), 10), h.after}
 }
 
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -41,8 +41,9 @@
 	Data   []byte
 	Broken bool // Over: by a reset, not by an end
 	Unsent bool // Over: with something not written yet
+	Slow   bool // Over: as it took in too little of what was written
 	News   *News
-	Err    error
+	Err    error // ListFailed
 }
 
 // Do is what an effect asks for.
@@ -338,11 +339,11 @@
 	case c.backend == nil && e.Kind == Came:
 		r.fromClient(l, e.Data)
 	case c.backend == nil:
-		r.clientOver(l, e.Broken)
+		r.clientOver(l, e)
 	case l.stage == standing && e.Kind == Came:
 		r.fromServer(l, e.Data)
 	case l.stage == standing:
-		r.serverOver(l, e.Broken)
+		r.serverOver(l, e)
 	case e.Kind == Up:
 		r.tryUp(l)
 	case e.Kind == Came:
@@ -377,7 +378,7 @@
 		r.toServer(l, data)
 	case len(l.early)+len(data) > lines.Longest:
 		c := l.client // against a client that sends on without an answer filling the memory
-		r.clientOver(l, true)
+		r.clientOver(l, Event{Broken: true})
 		r.forget(c, Break)
 	default:
 		l.early = append(l.early, data...)
@@ -577,10 +578,12 @@
 }
 
 // clientOver takes that the client has left.
-func (r *Reducer) clientOver(l *link, broken bool) {
-	how := End
-	if broken {
-		how = Break
+func (r *Reducer) clientOver(l *link, e Event) {
+	how, ending := End, ClientDone
+	if e.Slow {
+		how, ending = Break, SlowReader
+	} else if e.Broken {
+		how, ending = Break, ClientBroke
 	}
 	c := l.client
 	l.client = nil
@@ -607,10 +610,6 @@
 			r.tryOver(l, ClientBroke)
 		}
 	case standing:
-		if broken {
-			r.finish(l, ClientBroke, how)
-		} else {
-			r.finish(l, ClientDone, how)
-		}
+		r.finish(l, ending, how)
 	}
 }
--- /dev/null
+++ b/internal/relay/reducer_test.go
@@ -0,0 +1,451 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"valeshift/internal/settings"
+	"valeshift/logic"
+)
+
+const told = `{"replicas-of-me": 1, "zone": 0, "localities": ["hall"], "discovery": "automatic", "never-heard-of": {"x": [1]},
+	"categories": [
+		{"name": "feed", "promised-time-ms": 300, "hard-limit-ms": 2000, "gain": 1, "effect": "idempotent"},
+		{"name": "order", "promised-time-ms": 300, "hard-limit-ms": 2000, "gain": 1, "effect": "at_most_once"}],
+	"parties": [{"name": "one"}, {"name": "two"}], "family-info": {"tenant-quota-connections": [20, 30]},
+	"stats": {"how": "answers", "fields": ["rps", "x0"]},
+	"contract": {"ask-within-ms": 10000, "cold-from": 0.2, "cold-ms": 9000, "fall-ms": 2000, "tip-multiple": 3},
+	"limits": {"probes": false, "retry-after": true, "max-retry-after-ms": 900, "most-setup-tries": 3,
+		"connect-timeout-ms": 250, "may-cancel": true}}`
+
+// scene is a reducer that is told of events, and tells of effects, in words. Connections of clients are 1, 2 ...,
+// those of the relay s1, s2 ...; | stands for CRLF.
+type scene struct {
+	*Reducer
+	t     *testing.T
+	notes []string
+}
+
+func open(t *testing.T, change func(text string) string, sockets int, backends ...string) *scene {
+	t.Helper()
+	text := told
+	if change != nil {
+		text = change(text)
+		require.NotEqual(t, told, text)
+	}
+	values, err := settings.Flatten([]byte(text))
+	require.NoError(t, err)
+	r, err := New(0, 5, values, sockets, &News{Whole: true, Entries: entries(backends)})
+	require.NoError(t, err)
+	s := &scene{Reducer: r, t: t}
+	s.at(0, "tick")
+	return s
+}
+
+// entries reads NAME=STATUS, or NAME=STATUS@SINCE; the address comes of the name's digit.
+func entries(words []string) []Entry {
+	var list []Entry
+	for _, w := range words {
+		name, status, _ := strings.Cut(w, "=")
+		status, since, _ := strings.Cut(status, "@")
+		e := Entry{Name: name, Status: status, Zone: "hall", Weight: 1, Address: "10.0.0." + name[1:] + ":9000"}
+		e.Since, _ = strconv.ParseFloat(since, 64)
+		list = append(list, e)
+	}
+	return list
+}
+
+func (s *scene) conn(word string) uint64 {
+	n, err := strconv.ParseUint(strings.TrimPrefix(word, "s"), 10, 64)
+	require.NoError(s.t, err, word)
+	if word[0] == 's' {
+		n += dialed
+	}
+	return n
+}
+
+// at gives the reducer one event and returns what it asks for, less timers.
+func (s *scene) at(now float64, event string) string {
+	word := strings.SplitN(event, " ", 3)
+	var e Event
+	switch word[0] {
+	case "open":
+		e = Event{Kind: Opened, Conn: s.conn(word[1])}
+	case "up":
+		e = Event{Kind: Up, Conn: s.conn(word[1])}
+	case "came":
+		e = Event{Kind: Came, Conn: s.conn(word[1]), Data: []byte(strings.ReplaceAll(word[2], "|", "\r\n"))}
+	case "end", "reset", "cut":
+		e = Event{Kind: Over, Conn: s.conn(word[1]), Broken: word[0] != "end", Unsent: word[0] == "cut"}
+	case "news":
+		f := strings.Fields(word[2])
+		index, _ := strconv.ParseUint(f[0], 10, 64)
+		e = Event{Kind: ListNews, Conn: s.conn(word[1]), News: &News{Index: index, Whole: f[1] == "whole",
+			Entries: entries(f[2:])}}
+	case "heard":
+		e = Event{Kind: ListHeard, Conn: s.conn(word[1])}
+	case "failed":
+		e = Event{Kind: ListFailed, Conn: s.conn(word[1]), Err: errors.New("told so")}
+	case "stop":
+		e = Event{Kind: Stop}
+	default:
+		e = Event{Kind: Tick}
+	}
+	var said []string
+	for _, f := range s.Take(now, e) {
+		name := fmt.Sprint(f.Conn)
+		if f.Conn >= dialed {
+			name = fmt.Sprint("s", f.Conn-dialed)
+		}
+		switch f.Do {
+		case Dial:
+			said = append(said, "dial "+name+" "+f.Text)
+		case Write:
+			var all []byte
+			for _, p := range f.Parts {
+				all = append(all, p...)
+			}
+			said = append(said, "write "+name+" "+strings.ReplaceAll(string(all), "\r\n", "|"))
+		case End:
+			said = append(said, "end "+name)
+		case Break:
+			said = append(said, "break "+name)
+		case Watch:
+			said = append(said, fmt.Sprint("watch ", name, " after ", f.After))
+		case Unwatch:
+			said = append(said, "unwatch")
+		case Note:
+			s.notes = append(s.notes, fmt.Sprint(f.Text, f.Args))
+		case Quit:
+			said = append(said, "quit")
+		}
+	}
+	return strings.Join(said, "; ")
+}
+
+type step struct {
+	at          float64
+	event, want string
+}
+
+func (s *scene) play(name string, steps ...step) {
+	s.t.Helper()
+	for _, p := range steps {
+		require.Equal(s.t, p.want, s.at(p.at, p.event), "%s: %v %s", name, p.at, p.event)
+	}
+}
+
+// stands has link 1 stand on backend b1, over s1.
+func (s *scene) stands() {
+	s.t.Helper()
+	s.play("stands",
+		step{100, "open 1", ""},
+		step{100, "came 1 OPEN a 1f c=feed,t=one,d=2000|", "dial s1 10.0.0.1:9000"},
+		step{101, "up s1", "write s1 OPEN a 1f c=feed,t=one,d=1989|"},
+		step{102, "came s1 UP r1|", "write 1 UP r1|"})
+}
+
+// Every way in which a setup try can end, with what its client is told: again where nothing may have run twice.
+func TestEndingsOfSetupTries(t *testing.T) {
+	for _, c := range []struct {
+		name, event string
+		up          bool
+		how         Ending
+		again       bool // for one that must not run twice
+	}{
+		{"refused", "reset s1", false, NeverUp, true},
+		{"never up", "tick", false, NeverUp, true},
+		{"broken before the head was written", "cut s1", true, NeverUp, true},
+		{"turned down", "came s1 BUSY|", true, TurnedDown, true},
+		{"backend's error", "came s1 ERR|", true, BackendError, false},
+		{"no answer of the protocol", "came s1 HELLO|", true, BadAnswer, false},
+		{"line too long", "came s1 " + strings.Repeat("x", 5000), true, BadAnswer, false},
+		{"served out before it stood", "came s1 BYE|", true, BadAnswer, false},
+		{"reset", "reset s1", true, BrokeOff, false},
+		{"ended", "end s1", true, BrokeOff, false},
+		{"sent away", "came s1 MOVE|", true, SentAway, false},
+	} {
+		for _, category := range []string{"feed", "order"} {
+			s := open(t, nil, 0, "b1=active")
+			s.play(c.name, step{100, "open 1", ""},
+				step{100, "came 1 OPEN a 1f c=" + category + ",t=one,d=2000|", "dial s1 10.0.0.1:9000"})
+			if c.up {
+				s.at(101, "up s1")
+			}
+			got := s.at(351, c.event)
+			assert.Equal(t, uint64(1), s.Endings[c.how], c.name)
+			if category == "feed" || c.again {
+				assert.Contains(t, got, "dial s2", "%s, %s", c.name, category)
+				assert.NotContains(t, got, "write 1", c.name)
+				assert.Equal(t, "", s.at(352, "came s1 UP late|"), "%s: an earlier try says nothing now", c.name)
+			} else {
+				assert.Contains(t, got, "write 1 ERR|; end 1", "%s, %s", c.name, category)
+			}
+		}
+	}
+}
+
+func TestEndingsTellTheModule(t *testing.T) {
+	want := map[Ending]logic.Outcome{NotSent: logic.Unsent, NeverUp: logic.Unreachable, TurnedDown: logic.TurnedAway,
+		BackendError: logic.Errored, BadAnswer: logic.Errored, BrokeOff: logic.Broken, NoAnswer: logic.TimedOut,
+		ServedOut: logic.Satisfied, SentAway: logic.CalledOff, BrokeUp: logic.Broken, FellSilent: logic.Broken,
+		SlowReader: logic.CalledOff, MovedAway: logic.CalledOff, ClientDone: logic.Satisfied,
+		ClientBroke: logic.CalledOff}
+	assert.Len(t, want, len(endingNames))
+	for how, outcome := range want {
+		assert.Equal(t, outcome, how.outcome(), how.String())
+	}
+}
+
+func TestFinalAnswerBeforeTheHardLimit(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.play("a backend that says nothing", step{100, "open 1", ""},
+		step{100, "came 1 OPEN a 1f c=feed,t=one,d=2000|", "dial s1 10.0.0.1:9000"},
+		step{101, "up s1", "write s1 OPEN a 1f c=feed,t=one,d=1989|"},
+		step{2089, "tick", ""},
+		step{2090, "tick", "end s1; write 1 BUSY 900|; end 1"},
+		step{2091, "came s1 UP r1|", ""}, step{2091, "end 1", ""})
+	s = open(t, nil, 0)
+	s.play("no backend at all: held, then given up with half the time left", step{100, "open 1", ""},
+		step{100, "came 1 OPEN a 1f c=order,t=one,d=2000|", ""})
+	for now := 150.0; now < 1200 && s.Rejected == 0; now += 50 {
+		s.at(now, "tick")
+	}
+	assert.Equal(t, uint64(1), s.Rejected)
+	assert.Zero(t, s.links)
+}
+
+func TestClientsFirstLine(t *testing.T) {
+	for _, c := range []struct{ name, line, want string }{
+		{"malformed", "GET / HTTP/1.1|", "write 1 ERR|; end 1"},
+		{"no key", "OPEN a c=feed,d=5|", "write 1 ERR|; end 1"},
+		{"no CR", "OPEN a 1f c=feed,d=2000\n", "write 1 ERR|; end 1"},
+		{"unknown category", "OPEN a 1f c=feeds,d=2000|", "write 1 ERR|; end 1"},
+		{"doubled name", "OPEN a 1f c=feed,d=2000,d=1|", "write 1 ERR|; end 1"},
+		{"impossible number", "OPEN a 1f c=feed,d=-1|", "write 1 ERR|; end 1"},
+		{"no number", "OPEN a 1f c=feed,d=NaN|", "write 1 ERR|; end 1"},
+		{"no wait", "OPEN a 1f c=feed|", "write 1 ERR|; end 1"},
+		{"over-long", "OPEN " + strings.Repeat("a", 4096) + "|", "write 1 ERR|; end 1"},
+		{"over-long without an end", strings.Repeat("a", 4096), "write 1 ERR|; end 1"},
+		{"further figures", "OPEN a 1f c=feed,zz=1,h=2,t=nobody,d=2000|", "dial s1 10.0.0.1:9000"},
+	} {
+		s := open(t, nil, 0, "b1=active")
+		s.play(c.name, step{100, "open 1", ""}, step{101, "came 1 " + c.line, c.want})
+	}
+	s := open(t, nil, 0, "b1=active")
+	s.play("slow, in pieces, with lines behind it", step{100, "open 1", ""}, step{1000, "came 1 OPEN a 1f c=fe", ""},
+		step{2000, "came 1 ed,d=2000|early|", "dial s1 10.0.0.1:9000"}, step{2001, "came 1 more|", ""},
+		step{2002, "up s1", "write s1 OPEN a 1f c=feed,d=1988|"},
+		step{2003, "came s1 UP r|LOAD 7|", "write 1 UP r|; write s1 early|more|; write 1 LOAD 7|"})
+	s = open(t, nil, 0, "b1=active")
+	s.play("too slow", step{100, "open 1", ""}, step{3000, "heard 1", ""}, step{4000, "came 1 OPEN", ""}, step{5099, "tick", ""},
+		step{5100, "tick", "write 1 ERR|; end 1"})
+	s = open(t, nil, 0, "b1=active")
+	s.play("too much behind it", step{100, "open 1", ""},
+		step{100, "came 1 OPEN a 1f c=feed,d=2000|" + strings.Repeat("x", 4000), "dial s1 10.0.0.1:9000"},
+		step{101, "came 1 " + strings.Repeat("x", 4000), "break s1; break 1"})
+}
+
+func TestClientLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name, first string
+		change      func(string) string
+		want        string
+	}{
+		{"while dialing", "tick", nil, "end 1; break s1"},
+		{"while a try is out", "up s1", nil, "end 1; end s1"},
+		{"where a try may not be called off", "up s1", func(s string) string {
+			return strings.Replace(s, `"may-cancel": true`, `"may-cancel": false`, 1)
+		}, "end 1"},
+	} {
+		s := open(t, c.change, 0, "b1=active")
+		s.play(c.name, step{100, "open 1", ""}, step{100, "came 1 OPEN a 1f c=feed,d=2000|", "dial s1 10.0.0.1:9000"})
+		s.at(101, c.first)
+		s.play(c.name, step{102, "end 1", c.want})
+		s.at(103, "came s1 UP r|")
+		assert.Zero(t, s.links, c.name)
+		assert.Empty(t, s.ends, c.name)
+	}
+}
+
+func TestStandingLinks(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []step
+		how   Ending
+	}{
+		{"lines both ways, whole", []step{{200, "came 1 ping 1|", "write s1 ping 1|"},
+			{201, "came s1 pong", ""}, {202, "came s1  1|x|y", "write 1 pong 1|; write 1 x|"},
+			{203, "end 1", "end 1; end s1"}}, ClientDone},
+		{"a client's reset goes on as one", []step{{200, "reset 1", "end 1; break s1"}}, ClientBroke},
+		{"served out", []step{{200, "came s1 BYE inflight=7,x0=0.4|junk|", "write 1 BYE inflight=7,x0=0.4|"},
+			{201, "came s1 junk|", ""}, {202, "end s1", "end s1; end 1"}}, ServedOut},
+		{"served out without an end", []step{{200, "came s1 BYE|", "write 1 BYE|"},
+			{699, "tick", ""}, {700, "tick", "end 1; end s1"}}, ServedOut},
+		{"the backend sends the client away", []step{{200, "came s1 MOVE|", "write 1 MOVE|"},
+			{201, "end s1", "end s1; end 1"}}, SentAway},
+		{"an end goes on as an end", []step{{200, "end s1", "end s1; end 1"}}, BrokeUp},
+		{"a reset goes on as a reset", []step{{200, "reset s1", "end s1; break 1"}}, BrokeUp},
+		{"a line over the bound", []step{{200, "came s1 " + strings.Repeat("x", 5000), "break 1; break s1"}}, BadAnswer},
+		{"lines that bring nothing back", []step{{1000, "came 1 a|", "write s1 a|"}, {1001, "came s1 b|", "write 1 b|"},
+			{3000, "heard 1", ""}, {3000, "came 1 a|", "write s1 a|"}, {6000, "heard 1", ""}, {7000, "came 1 a|", "write s1 a|"},
+			{8999, "tick", ""}, {9000, "tick", "write 1 MOVE|; end 1; end s1"}}, FellSilent},
+		{"MOVE stands between two lines when the backend leaves", []step{{200, "came s1 half a li", ""},
+			{201, "news 1 2 delta b1=leaving", "write 1 MOVE|; end 1; end s1"}}, MovedAway},
+		{"a whole list without the backend", []step{
+			{200, "news 1 2 whole b2=active", "write 1 MOVE|; end 1; end s1"}}, MovedAway},
+	} {
+		s := open(t, nil, 0, "b1=active")
+		s.stands()
+		s.play(c.name, c.steps...)
+		assert.Equal(t, uint64(1), s.Endings[c.how], c.name)
+		assert.Zero(t, s.links, c.name)
+		assert.Empty(t, s.ends, c.name)
+		assert.Empty(t, s.named("b1").links, c.name)
+	}
+}
+
+func TestDrainBetweenChoiceAndSend(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.play("nothing new to a backend that leaves", step{100, "open 1", ""},
+		step{100, "came 1 OPEN a 1f c=order,d=2000|", "dial s1 10.0.0.1:9000"},
+		step{101, "news 1 2 delta b1=leaving b2=active", ""},
+		step{102, "up s1", "end s1; dial s2 10.0.0.2:9000"})
+}
+
+func TestLinksThatStoodBefore(t *testing.T) {
+	s := open(t, nil, 0, "b1=active", "b2=active")
+	s.play("resumed at its backend", step{100, "open 1", ""},
+		step{100, "came 1 OPEN a 1f c=feed,d=2000,at=b2|", "dial s1 10.0.0.2:9000"},
+		step{101, "reset s1", "end s1"}, step{600, "tick", ""}, step{601, "tick", "dial s2 10.0.0.2:9000"},
+		step{602, "up s2", "write s2 OPEN a 1f c=feed,d=2000,at=b2|"}, step{603, "came s2 UP r|", "write 1 UP r|"})
+	s.play("not found", step{700, "open 2", ""}, step{700, "came 2 OPEN b 1f c=feed,d=2000,at=b7|", ""})
+	for now := 1000.0; now < 40000 && s.Errored == 0; now += 500 {
+		s.at(now, "came 1 x|")
+		s.at(now, "came s2 x|")
+	}
+	assert.Equal(t, uint64(1), s.Errored)
+	assert.Equal(t, 1, s.Standing)
+}
+
+func TestPlannedStop(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.stands()
+	s.play("stop", step{1000, "stop", ""},
+		step{1000, "open 2", ""}, step{1001, "came 2 PING|", "write 2 ERR|"},
+		step{1100, "open 3", ""}, step{1100, "came 3 OPEN b 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
+		step{1101, "up s2", "write s2 OPEN b 1f c=feed,d=1989|"},
+		step{1102, "open 4", ""}, step{1102, "came 4 OPEN c 1f c=feed,d=9000|", "dial s3 10.0.0.1:9000"},
+		step{1103, "up s3", "write s3 OPEN c 1f c=feed,d=8989|"},
+		step{1500, "tick", "write 1 MOVE|; end 1; end s1"},
+		step{1600, "came s2 UP r|", "write 3 UP r|; write 3 MOVE|; end 3; end s2"})
+	last := s.at(1000+2000+lastWord, "tick")
+	assert.Contains(t, last, "end s3; write 4 BUSY 900|; end 4")
+	assert.True(t, strings.HasSuffix(last, "quit"), last)
+	assert.Zero(t, s.links)
+
+	s = open(t, nil, 0, "b1=active")
+	s.play("nothing in hand", step{1000, "stop", ""}, step{1499, "tick", ""}, step{1500, "tick", "quit"},
+		step{1501, "stop", ""})
+}
+
+func TestDescriptorsRunOut(t *testing.T) {
+	s := open(t, nil, spareFiles+2, "b1=active")
+	s.play("refused at once, never crashed", step{100, "open 1", ""},
+		step{100, "came 1 OPEN a 1f c=feed,d=2000|", "dial s1 10.0.0.1:9000"},
+		step{101, "open 2", "break 2"}, step{102, "came 2 OPEN", ""},
+		step{103, "end 1", "end 1; break s1"},
+		step{104, "open 3", ""}, step{105, "open 4", ""},
+		step{106, "came 4 OPEN b 1f c=order,d=2000|", "write 4 BUSY 900|; end 4"},
+		step{107, "came 3 OPEN b 1f c=order,d=2000|", "dial s2 10.0.0.1:9000"})
+}
+
+func TestReadyBeforePong(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.play("by the first list", step{10, "open 1", ""}, step{10, "came 1 PING|", ""}, step{20, "open 2", ""},
+		step{30, "news 1 1 whole b1=active", "write 1 PONG|"}, step{31, "came 1 PING|PING|", "write 1 PONG|; write 1 PONG|"})
+	s = open(t, nil, 0, "b1=active")
+	s.play("or without it", step{10, "open 1", ""}, step{10, "came 1 PING|", ""}, step{1000, "tick", "write 1 PONG|"})
+}
+
+func TestWatch(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.play("quiet", step{2000, "heard 1", ""}, step{5499, "tick", ""}, step{5500, "tick", "unwatch"},
+		step{5501, "news 1 9 whole", ""}, step{7000, "tick", "watch 2 after 0"},
+		step{7001, "news 2 9 whole b1=active", ""}, step{7002, "failed 1", ""},
+		step{7003, "failed 2", ""}, step{9000, "tick", "watch 3 after 9"},
+		step{9001, "news 3 8 delta b1=leaving", "unwatch"}, step{12000, "tick", "watch 4 after 0"},
+		step{12001, "news 4 3 whole b1=active b2=active", ""})
+	assert.Equal(t, uint64(3), s.index, "a list that was asked for whole may go back")
+	s.named("b1").Entry.Bad = ""
+	bad := []Entry{{Name: "b1", Status: "odd", Bad: "status"}, {Name: "b2", Status: "left"}}
+	s.Take(12002, Event{Kind: ListNews, Conn: 4, News: &News{Index: 4, Whole: true, Entries: bad}})
+	assert.Equal(t, logic.Ready, s.named("b1").condition, "what was known of a bad entry stays")
+	assert.Equal(t, logic.Gone, s.named("b2").condition)
+}
+
+func TestNews(t *testing.T) {
+	for _, c := range []struct{ text, bad, err string }{
+		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"1.2.3.4:5","status":"active"}]}`, "", ""},
+		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","status":"left"}]}`, "", ""},
+		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"host:5","status":"active"}]}`, "address", ""},
+		{`{"index":1,"snapshot":true,"endpoints":[{"address":"1.2.3.4:5","status":"active"}]}`, "name", ""},
+		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"1.2.3.4:5","status":"new"}]}`, "status", ""},
+		{`{"index":1,"snapshot":true}`, "", "endpoints expected"},
+		{`{"index":1,"snapshot":true,"endpoints":[`, "", "list"},
+	} {
+		news, err := readNews([]byte(c.text))
+		if c.err != "" {
+			assert.ErrorContains(t, err, c.err)
+			continue
+		}
+		require.NoError(t, err, c.text)
+		assert.Contains(t, news.Entries[0].Bad, c.bad, c.text)
+		assert.Equal(t, c.bad == "", news.Entries[0].Bad == "", c.text)
+	}
+}
+
+func TestProbes(t *testing.T) {
+	s := open(t, func(text string) string { return strings.Replace(text, `"probes": false`, `"probes": true`, 1) }, 0,
+		"b1=active")
+	s.play("one connection serves", step{299, "tick", "dial s1 10.0.0.1:9000"}, step{300, "up s1", "write s1 STATS|"},
+		step{301, "came s1 PONG qps=7,ut", ""}, step{302, "came s1 il=1,x0=0.5|", ""}, step{1500, "tick", "write s1 STATS|"},
+		step{1501, "came s1 ERR|", ""}, step{1900, "tick", "write s1 STATS|"}, step{2400, "tick", "break s1; dial s2 10.0.0.1:9000"},
+		step{2401, "came s1 PONG x0=0|", ""}, step{2402, "up s2", "write s2 STATS|"},
+		step{2403, "came s2 PONG x0=0.4|", ""}, step{2404, "end s2", "end s2"}, step{2500, "heard 1", ""},
+		step{3600, "tick", "dial s3 10.0.0.1:9000"})
+	assert.Equal(t, uint64(5), s.Probes)
+}
+
+func TestBadConfiguration(t *testing.T) {
+	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff","settings":` + told + `}`
+	for _, c := range []struct{ old, new, want string }{
+		{`"name":"n",`, ``, "name"}, {`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
+		{`"127.0.0.1:1"`, `"127.0.0.1"`, "discovery"}, {`"ff"`, `"xyz"`, "seed"},
+		{`"seed"`, `"limits":{"sockets":-1},"seed"`, "limits.sockets"},
+		{`"seed"`, `"known":{"index":1},"seed"`, "known"}, {`,"settings":` + told, ``, "settings"},
+		{`{"name"`, `{{"name"`, "config.json"}, {`"cold-ms": 9000`, `"cold-ms": "soon"`, "contract.cold-ms"},
+		{`"connect-timeout-ms": 250,`, ``, "limits.connect-timeout-ms"}, {`"name"`, `"odd":{"x":1},"name"`, ""},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		require.NotEqual(t, good, text)
+		path := t.TempDir() + "/config.json"
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		told, err := ReadTold(func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] })
+		if err == nil {
+			_, err = New(0, told.Seed, told.Settings, told.Sockets, told.Known)
+		}
+		if c.want == "" {
+			assert.NoError(t, err)
+		} else {
+			assert.ErrorContains(t, err, c.want)
+		}
+	}
+}
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -88,7 +88,7 @@
 	}
 	s.take(Event{Kind: Tick})
 	go s.accept(listener)
-	log.Info("serving", "name", t.Name, "listen", t.Listen, "backends", len(t.Known.Entries))
+	log.Info("serving", "name", t.Name, "listen", listener.Addr().String(), "backends", len(t.Known.Entries))
 	for {
 		select {
 		case <-stop:
@@ -197,7 +197,7 @@
 			s.mutex.Lock()
 			delete(s.dialing, conn)
 			s.mutex.Unlock()
-			s.take(Event{Kind: Over, Conn: conn, Broken: true, Err: err})
+			s.take(Event{Kind: Over, Conn: conn, Broken: true})
 			return
 		}
 		s.hold(conn, plain, Up)
@@ -211,7 +211,7 @@
 	if err != nil {
 		plain.Close()
 		if kind == Up {
-			s.take(Event{Kind: Over, Conn: conn, Broken: true, Err: err})
+			s.take(Event{Kind: Over, Conn: conn, Broken: true})
 		}
 		return
 	}
@@ -235,7 +235,7 @@
 	}
 	s.mutex.Unlock()
 	if err != nil {
-		s.take(Event{Kind: Over, Conn: conn, Broken: true, Err: err})
+		s.take(Event{Kind: Over, Conn: conn, Broken: true})
 	} else if kind == Up {
 		s.take(Event{Kind: kind, Conn: conn})
 	}
@@ -243,15 +243,14 @@
 
 // read takes in what there is, to the end or the reset behind it.
 func (s *Sockets) read(nb *nbio.Conn, buffer []byte) {
-	c := nb.Session().(*socket)
+	s.mutex.Lock() // the one it was handed over under, as nbio orders nothing between its goroutines
+	conn := nb.Session().(*socket).conn
+	s.mutex.Unlock()
 	for {
 		n, err := nb.Read(buffer)
 		switch {
 		case n > 0:
-			s.take(Event{Kind: Came, Conn: c.conn, Data: buffer[:n]})
-			if n < len(buffer) && err == nil {
-				continue // an end may stand behind it
-			}
+			s.take(Event{Kind: Came, Conn: conn, Data: buffer[:n]})
 		case err == nil:
 			nb.CloseWithError(io.EOF)
 			return
@@ -276,7 +275,7 @@
 		delete(s.open, c.conn)
 		s.mutex.Unlock()
 		s.take(Event{Kind: Over, Conn: c.conn, Broken: err != nil && !errors.Is(err, io.EOF),
-			Unsent: c.unsent.Load() > 0, Err: err})
+			Unsent: c.unsent.Load() > 0, Slow: errors.Is(err, nbio.ErrOverflow)})
 	}()
 }
 
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -20,6 +20,7 @@
 	drainOver  = 1500.0  // over which the clients of a backend that leaves are told
 	stopOver   = 1500.0  // and those of a relay that stops
 	stopWait   = 3000.0  // the longest of a hard limit that a stop waits for
+	lastWord   = 400.0   // after that, for what came last; the kill may come 0.3 s later
 )
 
 // resume asks the backend that has the link already.
@@ -135,11 +136,13 @@
 	r.arm(&l.quiet, r.now+endTime)
 }
 
-func (r *Reducer) serverOver(l *link, broken bool) {
+func (r *Reducer) serverOver(l *link, e Event) {
 	switch {
 	case l.ending:
 		r.finish(l, l.last, End)
-	case broken:
+	case e.Slow:
+		r.finish(l, SlowReader, Break)
+	case e.Broken:
 		r.finish(l, BrokeUp, Break)
 	default:
 		r.finish(l, BrokeUp, End)
@@ -197,7 +200,7 @@
 	wait := timer{fire: func() {}}
 	r.arm(&wait, r.now+lastComers) // a look at whether all is done
 	r.final.fire = r.stopNow
-	r.arm(&r.final, r.now+min(r.longest, stopWait)+lastComers)
+	r.arm(&r.final, r.now+min(r.longest, stopWait)+lastWord)
 }
 
 // stopNow answers and moves whatever is left.
