--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -75,19 +75,29 @@
 			b.condition = logic.Gone
 		}
 		r.table.Balancer.Listed(b.id, r.zone(e.Zone), b.condition, e.Group, e.Since, e.Weight)
-		if b.probe != nil && (moved || b.condition == logic.Gone) {
+		if b.probe != nil && moved {
 			r.probeOver(b)
 		}
 	}
-	for _, b := range r.byID {
+	r.table.Balancer.ListEnded(r.now)
+	for name, b := range r.backends {
 		if news.Whole && !named[b] {
 			b.condition = logic.Gone
 		}
-		if b.condition != logic.Ready && len(b.links) > 0 {
-			r.moveAll(b.links, r.now, drainOver)
+		for _, l := range b.links {
+			if b.condition != logic.Ready {
+				r.arm(&l.leave, r.now)
+			}
+		}
+		if b.condition == logic.Gone && b.probe != nil {
+			r.probeOver(b)
+		}
+		if b.condition == logic.Gone && len(b.links) == 0 {
+			// Against a fleet whose names never come again filling the memory. The module gives no gone one.
+			delete(r.backends, name)
+			delete(r.byID, b.id)
 		}
 	}
-	r.table.Balancer.ListEnded(r.now)
 }
 
 // list takes what the watch brought.
@@ -147,6 +157,10 @@
 func (r *Reducer) Probe(id uint32) {
 	r.Probes++
 	b := r.byID[id]
+	if b == nil { // gone since the module wanted it asked
+		r.table.Balancer.Probed(r.now, id, false, nil)
+		return
+	}
 	b.asking = true
 	if b.probe == nil {
 		b.probe = r.dial(b, nil)
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -80,6 +80,7 @@
 	margin     = 10.0    // taken off a client's wait, so that the answer is there before it gives up
 	tiny       = 1.0     // of waits
 	spareFiles = 32      // descriptors kept for the listener, the polls, the watch and dials
+	headPart   = 16      // one in so many of the rest is kept for clients that can only be told to come again
 	resumeTime = 38000.0 // for a link that stood before the start; it is lost two seconds later
 	resumeGap  = 500.0
 	readyTime  = 1000.0 // after which the relay serves on the list it was started with
@@ -156,6 +157,7 @@
 	ends    map[uint64]*end
 	links   int // from their heads to their ends
 	most    int // sockets
+	room    int // of those, for links
 	dials   uint64
 
 	categories, parties, zones map[string]int
@@ -190,7 +192,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, most: math.MaxInt, dials: dialed,
+	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, most: math.MaxInt, room: math.MaxInt, dials: dialed,
 		categories: numbers(p.Names("categories")), parties: numbers(p.Names("parties")), zones: p.Places("localities"),
 		fields: p.Fields(), reports: p.Text("stats.how") == "answers", mayCancel: p.Text("limits.may-cancel") != "false",
 		maxBack: p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
@@ -201,6 +203,7 @@
 	}
 	if sockets > 0 {
 		r.most = max(sockets-spareFiles, 0)
+		r.room = r.most - r.most/headPart
 	}
 	if err := p.Err(); err != nil {
 		return nil, err
@@ -450,7 +453,7 @@
 	switch {
 	case len(head.At) > 0:
 		r.resume(l)
-	case len(r.ends)+1 > r.most || r.links > r.mostHeld:
+	case len(r.ends)+1 > r.room || r.links > r.mostHeld:
 		// Against running out of descriptors in mid-flow: nothing was sent, so trying again is harmless.
 		r.Carry(l, logic.Answer{Verdict: logic.Reject, Wait: r.maxBack})
 	default:
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -422,6 +422,9 @@
 		step{2403, "came s2 PONG x0=0.4|", ""}, step{2404, "end s2", "end s2"}, step{2500, "heard 1", ""},
 		step{3600, "tick", "dial s3 10.0.0.1:9000"})
 	assert.Equal(t, uint64(5), s.Probes)
+	s.play("and goes with its backend", step{3601, "up s3", "write s3 STATS|"}, step{3602, "news 1 2 whole", "break s3"})
+	assert.Empty(t, s.backends, "nothing is kept of one that is gone")
+	assert.NotPanics(t, func() { s.Probe(7) }, "asked for before that")
 }
 
 func TestBadConfiguration(t *testing.T) {
--- /dev/null
+++ b/internal/relay/sockets_test.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/lesismal/nbio"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Against nbio's Writev, which loses whatever follows the first piece that the kernel did not take whole.
+func TestGatheredWritesKeepEverything(t *testing.T) {
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
+	}}
+	listener, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	s := &Sockets{open: map[uint64]*socket{}}
+	s.engine = nbio.NewEngine(nbio.Config{NPoller: 1, MaxWriteBufferSize: mostUnread})
+	s.engine.OnWrittenSize(s.written)
+	require.NoError(t, s.engine.Start())
+	defer s.engine.Stop()
+	for _, c := range []struct{ pieces, size int }{{1, 60000}, {3, 20000}, {40, 1500}, {15, 4000}} {
+		out, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		in, err := listener.Accept()
+		require.NoError(t, err)
+		nb, err := nbio.NBConn(out)
+		require.NoError(t, err)
+		require.NoError(t, nb.SetWriteBuffer(4096))
+		k := &socket{conn: 1, nb: nb}
+		nb.SetSession(k)
+		s.open[1] = k
+		_, err = s.engine.AddConn(nb)
+		require.NoError(t, err)
+
+		var parts [][]byte
+		var want []byte
+		for i := range c.pieces {
+			parts = append(parts, bytes.Repeat([]byte{'a' + byte(i%26)}, c.size))
+			want = append(want, parts[i]...)
+		}
+		s.write(1, parts)
+		s.end(1, End)
+		require.Positive(t, k.unsent.Load(), "the kernel took it all: nothing is tested")
+		rest, err := io.ReadAll(in)
+		require.NoError(t, err, "ended, not broken, once all is written")
+		assert.True(t, bytes.Equal(want, rest), "%d pieces of %d: %d bytes came", c.pieces, c.size, len(rest))
+		assert.Zero(t, k.unsent.Load())
+	}
+}
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -17,8 +17,6 @@
 	idleClient = 20000.0 // ten of a client's lines missed
 	endTime    = 500.0   // for the end of a connection after BYE or MOVE; the protocol's bound is a second
 	lastComers = 500.0   // clients still come for this long after a stop begins
-	drainOver  = 1500.0  // over which the clients of a backend that leaves are told
-	stopOver   = 1500.0  // and those of a relay that stops
 	stopWait   = 3000.0  // the longest of a hard limit that a stop waits for
 	lastWord   = 400.0   // after that, for what came last; the kill may come 0.3 s later
 )
@@ -173,16 +171,6 @@
 	r.finish(l, why, End)
 }
 
-// moveAll tells clients to come again, one after the other, so that they don't all come at once.
-func (r *Reducer) moveAll(links []*link, from, over float64) {
-	for i, l := range links {
-		at := from + over*float64(i)/float64(len(links))
-		if l.leave.place == 0 || l.leave.at > at {
-			r.arm(&l.leave, at)
-		}
-	}
-}
-
 // stop begins the relay's planned stop: what comes is served, what stands is moved once clients are dealt
 // elsewhere, and all is answered before the kill can come.
 func (r *Reducer) stop() {
@@ -190,17 +178,18 @@
 		return
 	}
 	r.stopping, r.stopAt = true, r.now
-	var all []*link
-	for _, c := range r.clients() {
+	final := r.now + min(r.longest, stopWait)
+	for i, c := range r.clients() {
 		if c.link.stage == standing {
-			all = append(all, c.link)
+			// One after the other over all the time there is, against all coming again at once.
+			part := float64(i) / float64(len(r.ends))
+			r.arm(&c.link.leave, r.now+lastComers+part*(final-r.now-lastComers))
 		}
 	}
-	r.moveAll(all, r.now+lastComers, stopOver)
 	wait := timer{fire: func() {}}
 	r.arm(&wait, r.now+lastComers) // a look at whether all is done
 	r.final.fire = r.stopNow
-	r.arm(&r.final, r.now+min(r.longest, stopWait)+lastWord)
+	r.arm(&r.final, final+lastWord)
 }
 
 // stopNow answers and moves whatever is left.
