--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -84,9 +84,9 @@
 		if news.Whole && !named[b] {
 			b.condition = logic.Gone
 		}
-		for _, l := range b.links {
-			if b.condition != logic.Ready {
-				r.arm(&l.leave, r.now)
+		for i, l := range b.links {
+			if b.condition != logic.Ready && l.leave.place == 0 {
+				r.arm(&l.leave, r.now+r.table.Balancer.Leave(i, len(b.links), 0))
 			}
 		}
 		if b.condition == logic.Gone && b.probe != nil {
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -312,6 +312,16 @@
 	}
 }
 
+func TestClientsOfALeavingBackendAreToldOneByOne(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.stands()
+	s.play("second", step{110, "open 2", ""}, step{110, "came 2 OPEN a 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
+		step{111, "up s2", "write s2 OPEN a 1f c=feed,d=1989|"}, step{112, "came s2 UP r|", "write 2 UP r|"},
+		step{200, "news 1 2 delta b1=leaving", "write 1 MOVE|; end 1; end s1"},
+		step{500, "news 1 3 delta b1=leaving", ""}, // not paced anew
+		step{949, "tick", ""}, step{950, "tick", "write 2 MOVE|; end 2; end s2"})
+}
+
 func TestDrainBetweenChoiceAndSend(t *testing.T) {
 	s := open(t, nil, 0, "b1=active")
 	s.play("nothing new to a backend that leaves", step{100, "open 1", ""},
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -178,18 +178,20 @@
 		return
 	}
 	r.stopping, r.stopAt = true, r.now
-	final := r.now + min(r.longest, stopWait)
-	for i, c := range r.clients() {
+	var all []*link
+	for _, c := range r.clients() {
 		if c.link.stage == standing {
-			// One after the other over all the time there is, against all coming again at once.
-			part := float64(i) / float64(len(r.ends))
-			r.arm(&c.link.leave, r.now+lastComers+part*(final-r.now-lastComers))
+			all = append(all, c.link)
 		}
 	}
-	wait := timer{fire: func() {}}
-	r.arm(&wait, r.now+lastComers) // a look at whether all is done
+	wait := min(r.longest, stopWait)
+	for i, l := range all {
+		r.arm(&l.leave, r.now+lastComers+r.table.Balancer.Leave(i, len(all), wait-lastComers))
+	}
+	look := timer{fire: func() {}}
+	r.arm(&look, r.now+lastComers) // a look at whether all is done
 	r.final.fire = r.stopNow
-	r.arm(&r.final, final+lastWord)
+	r.arm(&r.final, r.now+wait+lastWord)
 }
 
 // stopNow answers and moves whatever is left.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,9 +2,9 @@
 // probed load. A link that stands keeps its server for life. Callers use it like a client library, one
 // Balancer a relay, never shared. Three calls answer: Place (where to send this link, or not yet, or never),
 // After (what to do after this outcome) and Next (how long to wait, and the probe or subscription due; asked
-// until it names none). What is seen comes in by ListBegan, Listed, ListEnded, ListFailed, Probed, Reported,
-// Accepted, Weighed, Resumed and Vanished. Plain types and bookkeeping are in types.go; the interface is the
-// exported methods of Balancer. Times are milliseconds on the caller's clock.
+// until it names none). Leave paces links that must go. What is seen comes in by ListBegan, Listed, ListEnded,
+// ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished. Plain types and bookkeeping are in
+// types.go; the interface is the exported methods of Balancer. Times are milliseconds on the caller's clock.
 package logic
 
 import (
@@ -53,6 +53,7 @@
 	shedSoon   = 5000.0   // a link that breaks within this was shed by a server too full for it
 	shedPart   = 1.0 / 16 // of the set-ups out at once, then
 	timely     = 0.5      // of the promised time, within which a set-up shows that no store is overrun
+	leaveOver  = 1500.0   // over which links are told that must go
 	askPart    = 0.8      // of the time after which silence counts as told
 	askRelay   = 1000.0   // between two relays' asking of the list anew
 	askSpread  = 20.0     // between two relays' first asking
@@ -351,11 +352,7 @@
 	} else if s < 0 {
 		return b.effects.end(l, now)
 	}
-	b.effects.out++
-	l.tries, l.server, l.sent, l.out = l.tries+1, s, now, true
-	b.book(l)
-	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
-	b.probing.fresh[s] += l.load
+	b.sent(now, l, s)
 	// All the time that is left: a try cut short on a slow store leaves its work there, and asks for more.
 	return Answer{Verdict: Send, Backend: b.ids[s], Timeout: l.Limit - now, Round: l.tries - 1}
 }
@@ -544,14 +541,16 @@
 		}
 		p.load[s], p.heardAt[s] = f, now
 	}
-	p.fresh[s] = 0
-	p.since[s] = slices.DeleteFunc(p.since[s], func(x placed) bool { return x.at < now-reportLag })
-	for _, x := range p.since[s] {
-		p.fresh[s] += x.load
-	}
+	p.outdate(s, now-reportLag)
 	b.turns.stale = true
 }
 
+// Leave says how long the nth of so many links that must go is left where it is, within the time that is known
+// (0: none is). Against a fleet placed anew by one late report: they come again at once.
+func (b *Balancer) Leave(nth, of int, within float64) float64 {
+	return min(cmp.Or(within, leaveOver), leaveOver) * float64(nth) / float64(of)
+}
+
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
 func (b *Balancer) Next(now float64) Due {
 	d := Due{Wait: b.askAt - now}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -571,3 +571,18 @@
 	assert.Equal(t, walk(5), walk(5))
 	assert.NotEqual(t, walk(5), walk(6))
 }
+
+// Against a fleet whose clients all come again within one report.
+func TestLeaveIsPaced(t *testing.T) {
+	b := fleet{Loads: []float64{0.1, 0.1}}.build(t)
+	for _, c := range []struct {
+		nth, of int
+		within  float64
+		want    float64
+	}{
+		{0, 1, 0, 0}, {0, 30, 0, 0}, {15, 30, 0, leaveOver / 2}, {29, 30, 0, leaveOver * 29 / 30},
+		{5, 10, 400, 200}, {5, 10, 1e6, leaveOver / 2},
+	} {
+		assert.InDelta(t, c.want, b.Leave(c.nth, c.of, c.within), 1e-9, "%v", c)
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -389,6 +389,24 @@
 	}
 }
 
+// sent takes that a setup try of the link goes out.
+func (b *Balancer) sent(now float64, l *Link, s int) {
+	b.effects.out++
+	l.tries, l.server, l.sent, l.out = l.tries+1, s, now, true
+	b.book(l)
+	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
+	b.probing.fresh[s] += l.load
+}
+
+// outdate drops the links placed before then, which the latest figure holds.
+func (p *Probing) outdate(s int, then float64) {
+	p.fresh[s] = 0
+	p.since[s] = slices.DeleteFunc(p.since[s], func(x placed) bool { return x.at < then })
+	for _, x := range p.since[s] {
+		p.fresh[s] += x.load
+	}
+}
+
 // unbook also takes a link that is over out of what the next report may not hold yet.
 func (b *Balancer) unbook(l *Link) {
 	p, s := b.probing, l.server
