What follows a backend's answer in one piece is no answer of the next try

Seen on a read-through and shown by a table first: after BUSY and UP in one piece the reducer's loop (reducer.go, tryAnswer) went on with the next try's connection, and its client was told UP by a backend that never had it. The loop now holds to the connection that the bytes came on.

By the same tables: a stop that was done early was told to exit a second time by its last timer, which would have closed a closed channel, a crash, if the last writes took that long; it exits once. A connection that is ended with bytes its peer never takes is closed after two seconds, where it held its descriptor for ever.

--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -161,8 +161,8 @@
 	dials   uint64
 
 	categories, parties, zones map[string]int
-	fields                     []string
-	reports, probeLoad         bool
+	fields                     []string // of a load report
+	reports                    bool     // come with answers
 	mayCancel                  bool
 	maxBack, connectTime       float64
 	mostHeld                   int
@@ -251,9 +251,8 @@
 		heap.Pop(&r.timers).(*timer).fire()
 	}
 	wake := r.table.Drive(now)
-	if r.stopping && !r.quit && r.links == 0 && now >= r.stopAt+lastComers {
-		r.quit = true
-		r.do(Effect{Do: Quit})
+	if r.stopping && r.links == 0 && now >= r.stopAt+lastComers {
+		r.leave()
 	}
 	if len(r.timers) > 0 {
 		wake = min(wake, r.timers[0].at)
@@ -525,8 +524,9 @@
 }
 
 func (r *Reducer) tryAnswer(l *link, data []byte) {
-	for l.stage == trying || l.stage == resuming {
-		line, rest, err := l.server.in.Next(data)
+	// Against what follows an answer in one piece being taken for the next try's.
+	for c := l.server; l.server == c && l.stage != standing; {
+		line, rest, err := c.in.Next(data)
 		if err != nil {
 			r.tryOver(l, BadAnswer)
 			return
@@ -537,7 +537,7 @@
 		data = rest
 		verb, said := lines.Verb(line)
 		if r.reports && (string(verb) == "ERR" || string(verb) == "BUSY") {
-			r.reported(l.server.backend, said)
+			r.reported(c.backend, said)
 		}
 		switch string(verb) {
 		case "UP":
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -171,6 +171,7 @@
 		{"reset", "reset s1", true, BrokeOff, false},
 		{"ended", "end s1", true, BrokeOff, false},
 		{"sent away", "came s1 MOVE|", true, SentAway, false},
+		{"an answer with another behind it", "came s1 BUSY|UP r|", true, TurnedDown, true},
 	} {
 		for _, category := range []string{"feed", "order"} {
 			s := open(t, nil, 0, "b1=active")
@@ -359,11 +360,12 @@
 	last := s.at(1000+2000+lastWord, "tick")
 	assert.Contains(t, last, "end s3; write 4 BUSY 900|; end 4")
 	assert.True(t, strings.HasSuffix(last, "quit"), last)
+	assert.NotContains(t, s.at(9000, "tick"), "quit", "no second exit")
 	assert.Zero(t, s.links)
 
 	s = open(t, nil, 0, "b1=active")
 	s.play("nothing in hand", step{1000, "stop", ""}, step{1499, "tick", ""}, step{1500, "tick", "quit"},
-		step{1501, "stop", ""})
+		step{1501, "stop", ""}, step{9000, "tick", "unwatch"})
 }
 
 func TestDescriptorsRunOut(t *testing.T) {
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -30,6 +30,7 @@
 	dialWait   = 10 * time.Second
 	lastWrites = 200 * time.Millisecond
 	acceptGap  = 20 * time.Millisecond
+	restWait   = 2 * time.Second // for a peer to take what was written before an end
 )
 
 // socket is a connection that nbio holds.
@@ -349,6 +350,8 @@
 		if c.unsent.Load() == 0 {
 			delete(s.open, conn)
 			c.nb.Close()
+		} else { // against one that never takes the rest holding its descriptor for ever
+			c.nb.SetWriteDeadline(time.Now().Add(restWait))
 		}
 	}
 }
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -215,8 +215,15 @@
 			r.table.Place(r.now, l)
 		}
 	}
-	r.quit = true
-	r.do(Effect{Do: Quit})
+	r.leave()
+}
+
+// leave has the program exit, once.
+func (r *Reducer) leave() {
+	if !r.quit {
+		r.quit = true
+		r.do(Effect{Do: Quit})
+	}
 }
 
 // clients are the clients' connections in the order they came.
