Clients wait to be accepted while descriptors are short; none is broken

Now links are refused from fifteen sixteenths of the limit on, and at the limit the accept loop waits, so that each gets its BUSY some milliseconds later. A stop waits for heads on their way.

--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -58,6 +58,8 @@
 	Arm      // have Tick come at At
 	Watch    // watch the list as Conn, from After on, in place of any other watch
 	Unwatch
+	Hold // take in no further client
+	Free // and again
 	Note // a line for the log
 	Quit // all is done
 )
@@ -80,7 +82,8 @@
 	margin     = 10.0    // taken off a client's wait, so that the answer is there before it gives up
 	tiny       = 1.0     // of waits
 	spareFiles = 32      // descriptors kept for the listener, the polls, the watch and dials
-	headPart   = 16      // one in so many of the rest is kept for clients that can only be told to come again
+	headPart   = 16      // one in so many of the rest is kept for clients that can only be told to come again,
+	fewHeads   = 4       // and no fewer than that
 	resumeTime = 38000.0 // for a link that stood before the start; it is lost two seconds later
 	resumeGap  = 500.0
 	readyTime  = 1000.0 // after which the relay serves on the list it was started with
@@ -158,6 +161,7 @@
 	links   int // from their heads to their ends
 	most    int // sockets
 	room    int // of those, for links
+	full    bool
 	dials   uint64
 
 	categories, parties, zones map[string]int
@@ -203,7 +207,7 @@
 	}
 	if sockets > 0 {
 		r.most = max(sockets-spareFiles, 0)
-		r.room = r.most - r.most/headPart
+		r.room = max(r.most-max(r.most/headPart, fewHeads), 0)
 	}
 	if err := p.Err(); err != nil {
 		return nil, err
@@ -251,7 +255,8 @@
 		heap.Pop(&r.timers).(*timer).fire()
 	}
 	wake := r.table.Drive(now)
-	if r.stopping && r.links == 0 && now >= r.stopAt+lastComers {
+	r.gate()
+	if r.stopping && r.idle() && now >= r.stopAt+lastComers {
 		r.leave()
 	}
 	if len(r.timers) > 0 {
@@ -266,6 +271,20 @@
 	return effects
 }
 
+// gate lets clients wait to be accepted while there is no descriptor to tell them to come again. Against breaking
+// those whose head may be on its way: they would count as taken and lost.
+func (r *Reducer) gate() {
+	if full := len(r.ends) >= r.most; full != r.full {
+		r.full = full
+		if full {
+			r.note("no descriptors left for clients", "open", len(r.ends))
+			r.do(Effect{Do: Hold})
+		} else {
+			r.do(Effect{Do: Free})
+		}
+	}
+}
+
 func (r *Reducer) do(e Effect) { r.effects = append(r.effects, e) }
 
 func (r *Reducer) note(text string, args ...any) { r.do(Effect{Do: Note, Text: text, Args: args}) }
@@ -318,11 +337,6 @@
 	l := &link{}
 	c := r.add(&end{conn: conn, link: l, up: true})
 	l.client = c
-	if len(r.ends) > r.most {
-		r.note("no descriptors left for a client", "open", len(r.ends))
-		r.forget(c, Break)
-		return
-	}
 	c.wait.fire = func() { r.refuse(l, "no head in time") }
 	r.arm(&c.wait, r.now+headTime)
 }
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -54,6 +54,8 @@
 	open    map[uint64]*socket
 	dialing map[uint64]context.CancelFunc
 	timer   *time.Timer
+	held    bool // no client is accepted
+	freed   *sync.Cond
 	waiting []Event // that effects led to
 	parts   [][]byte
 	quit    chan struct{}
@@ -69,6 +71,7 @@
 		return err
 	}
 	s.reducer = reducer
+	s.freed = sync.NewCond(&s.mutex)
 	s.discovery = newDiscovery(t.Discovery, s.take)
 	s.timer = time.AfterFunc(time.Hour, func() { s.take(Event{Kind: Tick}) })
 	logging.SetLogger(nbioLog{log})
@@ -165,6 +168,9 @@
 			s.discovery.watch(e.Conn, e.After)
 		case Unwatch:
 			s.discovery.stop()
+		case Hold, Free:
+			s.held = e.Do == Hold
+			s.freed.Broadcast()
 		case Note:
 			s.log.Info(e.Text, e.Args...)
 		case Quit:
@@ -177,6 +183,11 @@
 // own listener asks again at once.
 func (s *Sockets) accept(listener net.Listener) {
 	for conn := uint64(1); ; conn++ {
+		s.mutex.Lock()
+		for s.held {
+			s.freed.Wait()
+		}
+		s.mutex.Unlock()
 		plain, err := listener.Accept()
 		if err != nil {
 			time.Sleep(acceptGap)
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -218,6 +218,19 @@
 	r.leave()
 }
 
+// idle tells whether nobody waits for anything: no link, and no client whose head may be on its way.
+func (r *Reducer) idle() bool {
+	if r.links > 0 {
+		return false
+	}
+	for _, c := range r.ends {
+		if c.backend == nil && !c.pinged {
+			return false
+		}
+	}
+	return true
+}
+
 // leave has the program exit, once.
 func (r *Reducer) leave() {
 	if !r.quit {
