--- a/cmd/valeshift/helpers_test.go
+++ b/cmd/valeshift/helpers_test.go
@@ -155,7 +155,7 @@
 }
 
 func (l *list) entry(name, address, status string) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"hall","type":"m","group":0,"status":%q,"weight":1,"since_ms":0}`,
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"hall","group":0,"status":%q,"weight":1}`,
 		name, address, status)
 }
 
@@ -172,7 +172,8 @@
 func (l *list) text() (string, <-chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s]}`, l.index, strings.Join(l.entries, ",")), l.changed
+	return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s]}`, l.index, strings.Join(l.entries, ",")),
+		l.changed
 }
 
 func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -218,7 +219,8 @@
 	"parties":[{"name":"one"}],"family-info":{"tenant-quota-connections":[100]},
 	"stats":{"how":"probe","fields":["cpu","rps","x0"]},
 	"contract":{"ask-within-ms":10000,"cold-from":0.2,"cold-ms":9000,"fall-ms":2000,"tip-multiple":3},
-	"limits":{"probes":true,"retry-after":true,"max-retry-after-ms":900,"most-setup-tries":3,"connect-timeout-ms":250,
+	"limits":{"probes":true,"retry-after":true,"max-retry-after-ms":900,"most-setup-tries":3,
+		"connect-timeout-ms":250,
 		"may-cancel":true}}`
 
 // start starts a relay whose list has the backends given; sockets is its limit on descriptors.
--- a/cmd/valeshift/main_test.go
+++ b/cmd/valeshift/main_test.go
@@ -109,7 +109,8 @@
 func TestBadClients(t *testing.T) {
 	b := newBackend(t, "b1")
 	r := start(t, 0, b)
-	for _, line := range []string{"GET / HTTP/1.1", "OPEN 1 2 c=nothing,d=2000", "OPEN 1 2 c=feed,d=2000,d=3", "OPEN 1 2 c=feed,d=x",
+	for _, line := range []string{"GET / HTTP/1.1", "OPEN 1 2 c=nothing,d=2000", "OPEN 1 2 c=feed,d=2000,d=3",
+		"OPEN 1 2 c=feed,d=x",
 		strings.Repeat("x", 4096)} {
 		client := r.dial()
 		client.say(line)
--- a/internal/adapter/adapter_test.go
+++ b/internal/adapter/adapter_test.go
@@ -91,7 +91,8 @@
 	}{
 		{"unknown code", "offset 24: a code of the wire expected, got 999", batch(1, 1, 2, about, "e703")},
 		{"no instance named", "offset 20: an About record expected", batch(1, 1, 1, "0401 01000000")},
-		{"record cut short", "offset 26: 4 bytes of a record expected, 2 are left", batch(1, 1, 2, about, "0401 0100")},
+		{"record cut short", "offset 26: 4 bytes of a record expected, 2 are left", batch(1, 1, 2, about,
+			"0401 0100")},
 		{"count past the frame", "offset 32: 65535 bytes of a record expected",
 			batch(1, 1, 2, about, "0a01 01000000 ffff 00")},
 		{"rows past the frame", "elements of 21 bytes expected", batch(1, 1, 1, "0c01 00000000 ffffff7f")},
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -1,6 +1,6 @@
-// Package lines parses the text protocol that clients and backends speak: lines ended by CRLF. It reads heads in
-// place and keeps no copy of what it is given, except the part of a line whose end has not come. It knows no
-// socket, no link and no module.
+// Package lines parses the text protocol that clients and backends speak: lines ended by CRLF. It reads heads
+// in place and keeps no copy of what it is given, except the part of a line whose end has not come. It knows
+// no socket, no link and no module.
 package lines
 
 import (
@@ -23,8 +23,8 @@
 	tail []byte // of a line whose end has not come
 }
 
-// Next gives the first whole line of data, its end included, and what follows it. Without a whole line it gives
-// nil and keeps the piece. The line is good as long as data is.
+// Next gives the first whole line of data, its end included, and what follows it. Without a whole line it
+// gives nil and keeps the piece. The line is good as long as data is.
 func (s *Splitter) Next(data []byte) (line, rest []byte, err error) {
 	n := bytes.IndexByte(data, '\n') + 1
 	if len(s.tail)+max(n, 1) > Longest || (n == 0 && len(s.tail)+len(data) >= Longest) {
@@ -132,8 +132,8 @@
 	return v, nil
 }
 
-// Mark reads a key or a group: a number in hexadecimal, or the hash of whatever else it is, so that all relays
-// know it by the same number.
+// Mark reads a key or a group: a number in hexadecimal, or the hash of whatever else it is, so that all
+// relays know it by the same number.
 func Mark(text []byte) uint64 {
 	if v, err := strconv.ParseUint(string(text), 16, 64); err == nil {
 		return v
@@ -165,8 +165,8 @@
 	return v, err == nil && v >= 0 && !math.IsInf(v, 0)
 }
 
-// Report reads a load report's values in the order of the fields given; one that is not there, or is no number,
-// is NaN. It gives nil where no field is there.
+// Report reads a load report's values in the order of the fields given; one that is not there, or is no
+// number, is NaN. It gives nil where no field is there.
 func Report(rest []byte, fields []string) []float64 {
 	var report []float64
 	for pair := range bytes.SplitSeq(rest, []byte(",")) {
--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -77,9 +77,12 @@
 }
 
 func TestBadHeads(t *testing.T) {
-	for _, line := range []string{"", "\r\n", "OPEN\r\n", "OPEN a\r\n", "OPEN a b\r\n", "OPEN a b \r\n", "OPEN  b c=x,d=1\r\n",
-		"open a b c=x,d=1\r\n", "OPEN a b c=x,d=1 z\r\n", "OPEN a b c=x,d=1,\r\n", "OPEN a b c=x,d\r\n", "OPEN a b c=x,=1,d=1\r\n",
-		"OPEN a b d=1\r\n", "OPEN a b c=x\r\n", "OPEN a b c=x,c=x,d=1\r\n", "OPEN a b c=x,d=1e99\r\n", "OPEN a b c=x,d=Inf\r\n",
+	for _, line := range []string{"", "\r\n", "OPEN\r\n", "OPEN a\r\n", "OPEN a b\r\n", "OPEN a b \r\n",
+		"OPEN  b c=x,d=1\r\n",
+		"open a b c=x,d=1\r\n", "OPEN a b c=x,d=1 z\r\n", "OPEN a b c=x,d=1,\r\n", "OPEN a b c=x,d\r\n",
+		"OPEN a b c=x,=1,d=1\r\n",
+		"OPEN a b d=1\r\n", "OPEN a b c=x\r\n", "OPEN a b c=x,c=x,d=1\r\n", "OPEN a b c=x,d=1e99\r\n",
+		"OPEN a b c=x,d=Inf\r\n",
 		"OPEN a b c=x,d=-0.1\r\n", "OPEN a b c=x,d=1,h=no\r\n", "OPEN a b c=x,d=1\n"} {
 		_, err := ReadHead([]byte(line))
 		assert.Error(t, err, "%q", line)
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -1,7 +1,7 @@
 package relay
 
-// This file is the part of the reducer for backends: the list as discovery tells it, the watch on it, and probes.
-// It must never decide which backend is used or when one is asked: that is the module's.
+// This file is the part of the reducer for backends: the list as discovery tells it, the watch on it, and
+// probes. It must never decide which backend is used or when one is asked: that is the module's.
 
 import (
 	"hash/fnv"
@@ -25,7 +25,8 @@
 	asking    bool // a probe is out
 }
 
-// named finds the backend, or takes in a new one. Its number comes of its name, so that all relays draw alike.
+// named finds the backend, or takes in a new one. Its number comes of its name, so that all relays draw
+// alike.
 func (r *Reducer) named(name string) *backend {
 	b := r.backends[name]
 	if b == nil {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -1,7 +1,8 @@
 package relay
 
-// This file reads what a relay is told at its start: a JSON file, and the environment before it. It owns the names
-// of those fields and says which of them is missing or wrong. It must never act on what it reads, nor keep it.
+// This file reads what a relay is told at its start: a JSON file, and the environment before it. It owns the
+// names of those fields and says which of them is missing or wrong. It must never act on what it reads, nor
+// keep it.
 
 import (
 	"encoding/json"
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -10,7 +10,7 @@
 	Accepted, Pings, Heads, BadHeads, Resumed      uint64 // taken in
 	Tries, Probes, Watches                         uint64 // sent
 	Satisfied, Rejected, Errored, Unwanted, Pushed uint64 // answered: UP, BUSY, ERR; client gone first; MOVE
-	LinesIn, LinesOut                              uint64 // to backends, to clients
+	Pieces, Lines                                  uint64 // of what standing clients said; passed to them
 	Endings                                        [len(endingNames)]uint64
 	Open, Standing, Most                           int // now, now, and the most sockets at once
 }
@@ -25,8 +25,8 @@
 	}
 	log.Info("counters", "why", why,
 		slog.Group("in", "accepted", c.Accepted, "pings", c.Pings, "heads", c.Heads, "bad heads", c.BadHeads,
-			"resumed", c.Resumed, "pieces", c.LinesIn),
-		slog.Group("sent", "tries", c.Tries, "probes", c.Probes, "watches", c.Watches, "lines", c.LinesOut),
+			"resumed", c.Resumed, "pieces", c.Pieces),
+		slog.Group("sent", "tries", c.Tries, "probes", c.Probes, "watches", c.Watches, "lines", c.Lines),
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
 			"unwanted", c.Unwanted, "moved", c.Pushed),
 		slog.Group("endings", endings...),
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -1,7 +1,8 @@
 package relay
 
-// This file speaks to discovery over HTTP: it owns the watch that is open, reads what it says, and hands it on as
-// events in the order it came. It must never keep a list, judge what an entry means, or decide when to ask again.
+// This file speaks to discovery over HTTP: it owns the watch that is open, reads what it says, and hands it
+// on as events in the order it came. It must never keep a list, judge what an entry means, or decide when to
+// ask again.
 
 import (
 	"bufio"
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -1,7 +1,7 @@
 package relay
 
-// This file owns the ways in which a connection can end, each one value, and what each says to the module. It must
-// never look at a connection or a link: whoever sees the end names it.
+// This file owns the ways in which a connection can end, each one value, and what each says to the module. It
+// must never look at a connection or a link: whoever sees the end names it.
 
 import "valeshift/logic"
 
@@ -27,8 +27,10 @@
 	ClientBroke                // the client broke it
 )
 
-var endingNames = [...]string{"not sent", "never up", "turned down", "backend error", "bad answer", "broke off",
-	"no answer", "served out", "sent away", "broke up", "fell silent", "slow reader", "moved away", "client done",
+var endingNames = [...]string{"not sent", "never up", "turned down", "backend error", "bad answer",
+	"broke off",
+	"no answer", "served out", "sent away", "broke up", "fell silent", "slow reader", "moved away",
+	"client done",
 	"client broke"}
 
 func (e Ending) String() string { return endingNames[e] }
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -1,13 +1,14 @@
 // Package relay is the program's core: the decision module on sockets.
 //
-// This file owns all state of the relay and every change of it: Take is told one event with its time and returns
-// the effects that follow. It must never touch a socket, a clock or a log, start anything that runs beside it, or
-// decide what the module decides. What a link does until it stands is here; standing.go and backends.go hold the
-// rest of the same reducer.
+// This file owns all state of the relay and every change of it: Take is told one event with its time and
+// returns the effects that follow. It must never touch a socket, a clock or a log, start anything that runs
+// beside it, or decide what the module decides. What a link does until it stands is here; standing.go and
+// backends.go hold the rest of the same reducer.
 package relay
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"strconv"
 
@@ -20,8 +21,8 @@
 // Kind is what an event tells.
 type Kind uint8
 
-// The events. Those of a connection or a watch that is over already are dropped by its number, as no number is
-// given twice.
+// The events. Those of a connection or a watch that is over already are dropped by its number, as no number
+// is given twice.
 const (
 	Opened     Kind = iota // a client's connection was accepted
 	Up                     // a connection that was dialed is up
@@ -84,6 +85,7 @@
 	spareFiles = 32      // descriptors kept for the listener, the polls, the watch and dials
 	headPart   = 16      // one in so many of the rest is kept for clients that can only be told to come again,
 	fewHeads   = 4       // and no fewer than that
+	perLink    = 2
 	resumeTime = 38000.0 // for a link that stood before the start; it is lost two seconds later
 	resumeGap  = 500.0
 	readyTime  = 1000.0 // after which the relay serves on the list it was started with
@@ -168,7 +170,7 @@
 	fields                     []string // of a load report
 	reports                    bool     // come with answers
 	mayCancel                  bool
-	maxBack, connectTime       float64
+	maxBack, connectTime       float64 // the longest wait a client follows; for a backend to be up
 	mostHeld                   int
 	longest                    float64 // hard limit
 
@@ -188,26 +190,30 @@
 	quit     bool
 }
 
-// New builds the relay's state. Values are the settings, sockets the limit on descriptors (0: none), known the
-// list as it was last.
+// New builds the relay's state. Values are the settings, sockets the limit on descriptors (0: none), known
+// the list as it was last.
 func New(now float64, seed uint64, values map[string]string, sockets int, known *News) (*Reducer, error) {
 	p := settings.Over(values)
 	balancer, err := p.Assemble(seed)
 	if err != nil {
 		return nil, err
 	}
-	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, most: math.MaxInt, room: math.MaxInt, dials: dialed,
-		categories: numbers(p.Names("categories")), parties: numbers(p.Names("parties")), zones: p.Places("localities"),
-		fields: p.Fields(), reports: p.Text("stats.how") == "answers", mayCancel: p.Text("limits.may-cancel") != "false",
-		maxBack: p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
+	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, most: math.MaxInt, room: math.MaxInt,
+		dials: dialed, categories: numbers(p.Names("categories")), parties: numbers(p.Names("parties")),
+		zones: p.Places("localities"), fields: p.Fields(), reports: p.Text("stats.how") == "answers",
+		mayCancel: p.Text("limits.may-cancel") != "false",
+		maxBack:   p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
 		mostHeld: int(p.Optional("limits.most-held", math.MaxInt32)),
 		backends: map[string]*backend{}, byID: map[uint32]*backend{}}
 	for i := range r.categories {
 		r.longest = max(r.longest, p.Number("categories."+strconv.Itoa(r.categories[i])+".hard-limit-ms"))
 	}
 	if sockets > 0 {
-		r.most = max(sockets-spareFiles, 0)
-		r.room = max(r.most-max(r.most/headPart, fewHeads), 0)
+		r.most = sockets - spareFiles
+		r.room = r.most - max(r.most/headPart, fewHeads)
+		if r.room < perLink {
+			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink, sockets)
+		}
 	}
 	if err := p.Err(); err != nil {
 		return nil, err
@@ -271,8 +277,8 @@
 	return effects
 }
 
-// gate lets clients wait to be accepted while there is no descriptor to tell them to come again. Against breaking
-// those whose head may be on its way: they would count as taken and lost.
+// gate lets clients wait to be accepted while there is no descriptor to tell them to come again. Against
+// breaking those whose head may be on its way: they would count as taken and lost.
 func (r *Reducer) gate() {
 	if full := len(r.ends) >= r.most; full != r.full {
 		r.full = full
@@ -343,11 +349,8 @@
 
 func (r *Reducer) connection(c *end, e Event) {
 	if e.Kind == Over {
-		r.Open--
-		delete(r.ends, c.conn)
-		r.disarm(&c.wait)
 		// The socket may still be open on this side, after the other has ended its sending.
-		r.do(Effect{Do: End, Conn: c.conn})
+		r.forget(c, End)
 	}
 	switch l := c.link; {
 	case l == nil:
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -15,7 +15,8 @@
 	"valeshift/logic"
 )
 
-const told = `{"replicas-of-me": 1, "zone": 0, "localities": ["hall"], "discovery": "automatic", "never-heard-of": {"x": [1]},
+const told = `{"replicas-of-me": 1, "zone": 0, "localities": ["hall"], "discovery": "automatic",
+	"never-heard-of": {"x": [1]},
 	"categories": [
 		{"name": "feed", "promised-time-ms": 300, "hard-limit-ms": 2000, "gain": 1, "effect": "idempotent"},
 		{"name": "order", "promised-time-ms": 300, "hard-limit-ms": 2000, "gain": 1, "effect": "at_most_once"}],
@@ -25,8 +26,8 @@
 	"limits": {"probes": false, "retry-after": true, "max-retry-after-ms": 900, "most-setup-tries": 3,
 		"connect-timeout-ms": 250, "may-cancel": true}}`
 
-// scene is a reducer that is told of events, and tells of effects, in words. Connections of clients are 1, 2 ...,
-// those of the relay s1, s2 ...; | stands for CRLF.
+// scene is a reducer that is told of events, and tells of effects, in words. Connections of clients are 1, 2
+// ..., those of the relay s1, s2 ...; | stands for CRLF.
 type scene struct {
 	*Reducer
 	t     *testing.T
@@ -156,7 +157,8 @@
 		step{102, "came s1 UP r1|", "write 1 UP r1|"})
 }
 
-// Every way in which a setup try can end, with what its client is told: again where nothing may have run twice.
+// Every way in which a setup try can end, with what its client is told: again where nothing may have run
+// twice.
 func TestEndingsOfSetupTries(t *testing.T) {
 	for _, c := range []struct {
 		name, event string
@@ -198,7 +200,8 @@
 }
 
 func TestEndingsTellTheModule(t *testing.T) {
-	want := map[Ending]logic.Outcome{NotSent: logic.Unsent, NeverUp: logic.Unreachable, TurnedDown: logic.TurnedAway,
+	want := map[Ending]logic.Outcome{NotSent: logic.Unsent, NeverUp: logic.Unreachable,
+		TurnedDown:   logic.TurnedAway,
 		BackendError: logic.Errored, BadAnswer: logic.Errored, BrokeOff: logic.Broken, NoAnswer: logic.TimedOut,
 		ServedOut: logic.Satisfied, SentAway: logic.CalledOff, BrokeUp: logic.Broken, FellSilent: logic.Broken,
 		SlowReader: logic.CalledOff, MovedAway: logic.CalledOff, ClientDone: logic.Satisfied,
@@ -245,12 +248,14 @@
 		s.play(c.name, step{100, "open 1", ""}, step{101, "came 1 " + c.line, c.want})
 	}
 	s := open(t, nil, 0, "b1=active")
-	s.play("slow, in pieces, with lines behind it", step{100, "open 1", ""}, step{1000, "came 1 OPEN a 1f c=fe", ""},
+	s.play("slow, in pieces, with lines behind it", step{100, "open 1", ""}, step{1000, "came 1 OPEN a 1f c=fe",
+		""},
 		step{2000, "came 1 ed,d=2000|early|", "dial s1 10.0.0.1:9000"}, step{2001, "came 1 more|", ""},
 		step{2002, "up s1", "write s1 OPEN a 1f c=feed,d=1988|"},
 		step{2003, "came s1 UP r|LOAD 7|", "write 1 UP r|; write s1 early|more|; write 1 LOAD 7|"})
 	s = open(t, nil, 0, "b1=active")
-	s.play("too slow", step{100, "open 1", ""}, step{3000, "heard 1", ""}, step{4000, "came 1 OPEN", ""}, step{5099, "tick", ""},
+	s.play("too slow", step{100, "open 1", ""}, step{3000, "heard 1", ""}, step{4000, "came 1 OPEN", ""},
+		step{5099, "tick", ""},
 		step{5100, "tick", "write 1 ERR|; end 1"})
 	s = open(t, nil, 0, "b1=active")
 	s.play("too much behind it", step{100, "open 1", ""},
@@ -271,7 +276,8 @@
 		}, "end 1"},
 	} {
 		s := open(t, c.change, 0, "b1=active")
-		s.play(c.name, step{100, "open 1", ""}, step{100, "came 1 OPEN a 1f c=feed,d=2000|", "dial s1 10.0.0.1:9000"})
+		s.play(c.name, step{100, "open 1", ""}, step{100, "came 1 OPEN a 1f c=feed,d=2000|",
+			"dial s1 10.0.0.1:9000"})
 		s.at(101, c.first)
 		s.play(c.name, step{102, "end 1", c.want})
 		s.at(103, "came s1 UP r|")
@@ -298,9 +304,12 @@
 			{201, "end s1", "end s1; end 1"}}, SentAway},
 		{"an end goes on as an end", []step{{200, "end s1", "end s1; end 1"}}, BrokeUp},
 		{"a reset goes on as a reset", []step{{200, "reset s1", "end s1; break 1"}}, BrokeUp},
-		{"a line over the bound", []step{{200, "came s1 " + strings.Repeat("x", 5000), "break 1; break s1"}}, BadAnswer},
-		{"lines that bring nothing back", []step{{1000, "came 1 a|", "write s1 a|"}, {1001, "came s1 b|", "write 1 b|"},
-			{3000, "heard 1", ""}, {3000, "came 1 a|", "write s1 a|"}, {6000, "heard 1", ""}, {7000, "came 1 a|", "write s1 a|"},
+		{"a line over the bound", []step{{200, "came s1 " + strings.Repeat("x", 5000), "break 1; break s1"}},
+			BadAnswer},
+		{"lines that bring nothing back", []step{{1000, "came 1 a|", "write s1 a|"}, {1001, "came s1 b|",
+			"write 1 b|"},
+			{3000, "heard 1", ""}, {3000, "came 1 a|", "write s1 a|"}, {6000, "heard 1", ""}, {7000, "came 1 a|",
+				"write s1 a|"},
 			{8999, "tick", ""}, {9000, "tick", "write 1 MOVE|; end 1; end s1"}}, FellSilent},
 		{"MOVE stands between two lines when the backend leaves", []step{{200, "came s1 half a li", ""},
 			{201, "news 1 2 delta b1=leaving", "write 1 MOVE|; end 1; end s1"}}, MovedAway},
@@ -320,7 +329,8 @@
 func TestClientsOfALeavingBackendAreToldOneByOne(t *testing.T) {
 	s := open(t, nil, 0, "b1=active")
 	s.stands()
-	s.play("second", step{110, "open 2", ""}, step{110, "came 2 OPEN a 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
+	s.play("second", step{110, "open 2", ""}, step{110, "came 2 OPEN a 1f c=feed,d=2000|",
+		"dial s2 10.0.0.1:9000"},
 		step{111, "up s2", "write s2 OPEN a 1f c=feed,d=1989|"}, step{112, "came s2 UP r|", "write 2 UP r|"},
 		step{200, "news 1 2 delta b1=leaving", "write 1 MOVE|; end 1; end s1"},
 		step{500, "news 1 3 delta b1=leaving", ""}, // not paced anew
@@ -390,9 +400,11 @@
 func TestReadyBeforePong(t *testing.T) {
 	s := open(t, nil, 0, "b1=active")
 	s.play("by the first list", step{10, "open 1", ""}, step{10, "came 1 PING|", ""}, step{20, "open 2", ""},
-		step{30, "news 1 1 whole b1=active", "write 1 PONG|"}, step{31, "came 1 PING|PING|", "write 1 PONG|; write 1 PONG|"})
+		step{30, "news 1 1 whole b1=active", "write 1 PONG|"}, step{31, "came 1 PING|PING|",
+			"write 1 PONG|; write 1 PONG|"})
 	s = open(t, nil, 0, "b1=active")
-	s.play("or without it", step{10, "open 1", ""}, step{10, "came 1 PING|", ""}, step{1000, "tick", "write 1 PONG|"})
+	s.play("or without it", step{10, "open 1", ""}, step{10, "came 1 PING|", ""}, step{1000, "tick",
+		"write 1 PONG|"})
 }
 
 func TestWatch(t *testing.T) {
@@ -415,9 +427,11 @@
 	for _, c := range []struct{ text, bad, err string }{
 		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"1.2.3.4:5","status":"active"}]}`, "", ""},
 		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","status":"left"}]}`, "", ""},
-		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"host:5","status":"active"}]}`, "address", ""},
+		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"host:5","status":"active"}]}`, "address",
+			""},
 		{`{"index":1,"snapshot":true,"endpoints":[{"address":"1.2.3.4:5","status":"active"}]}`, "name", ""},
-		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"1.2.3.4:5","status":"new"}]}`, "status", ""},
+		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"1.2.3.4:5","status":"new"}]}`, "status",
+			""},
 		{`{"index":1,"snapshot":true}`, "", "endpoints expected"},
 		{`{"index":1,"snapshot":true,"endpoints":[`, "", "list"},
 	} {
@@ -433,16 +447,23 @@
 }
 
 func TestProbes(t *testing.T) {
-	s := open(t, func(text string) string { return strings.Replace(text, `"probes": false`, `"probes": true`, 1) }, 0,
+	s := open(t, func(text string) string {
+		return strings.Replace(text, `"probes": false`, `"probes": true`,
+			1)
+	}, 0,
 		"b1=active")
-	s.play("one connection serves", step{299, "tick", "dial s1 10.0.0.1:9000"}, step{300, "up s1", "write s1 STATS|"},
-		step{301, "came s1 PONG qps=7,ut", ""}, step{302, "came s1 il=1,x0=0.5|", ""}, step{1500, "tick", "write s1 STATS|"},
-		step{1501, "came s1 ERR|", ""}, step{1900, "tick", "write s1 STATS|"}, step{2400, "tick", "break s1; dial s2 10.0.0.1:9000"},
+	s.play("one connection serves", step{299, "tick", "dial s1 10.0.0.1:9000"}, step{300, "up s1",
+		"write s1 STATS|"},
+		step{301, "came s1 PONG qps=7,ut", ""}, step{302, "came s1 il=1,x0=0.5|", ""}, step{1500, "tick",
+			"write s1 STATS|"},
+		step{1501, "came s1 ERR|", ""}, step{1900, "tick", "write s1 STATS|"}, step{2400, "tick",
+			"break s1; dial s2 10.0.0.1:9000"},
 		step{2401, "came s1 PONG x0=0|", ""}, step{2402, "up s2", "write s2 STATS|"},
 		step{2403, "came s2 PONG x0=0.4|", ""}, step{2404, "end s2", "end s2"}, step{2500, "heard 1", ""},
 		step{3600, "tick", "dial s3 10.0.0.1:9000"})
 	assert.Equal(t, uint64(5), s.Probes)
-	s.play("and goes with its backend", step{3601, "up s3", "write s3 STATS|"}, step{3602, "news 1 2 whole", "break s3"})
+	s.play("and goes with its backend", step{3601, "up s3", "write s3 STATS|"}, step{3602, "news 1 2 whole",
+		"break s3"})
 	assert.Empty(t, s.backends, "nothing is kept of one that is gone")
 	assert.NotPanics(t, func() { s.Probe(7) }, "asked for before that")
 }
@@ -453,6 +474,7 @@
 		{`"name":"n",`, ``, "name"}, {`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
 		{`"127.0.0.1:1"`, `"127.0.0.1"`, "discovery"}, {`"ff"`, `"xyz"`, "seed"},
 		{`"seed"`, `"limits":{"sockets":-1},"seed"`, "limits.sockets"},
+		{`"seed"`, `"limits":{"sockets":37},"seed"`, "limits.sockets: 38"},
 		{`"seed"`, `"known":{"index":1},"seed"`, "known"}, {`,"settings":` + told, ``, "settings"},
 		{`{"name"`, `{{"name"`, "config.json"}, {`"cold-ms": 9000`, `"cold-ms": "soon"`, "contract.cold-ms"},
 		{`"connect-timeout-ms": 250,`, ``, "limits.connect-timeout-ms"}, {`"name"`, `"odd":{"x":1},"name"`, ""},
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -1,12 +1,13 @@
 package relay
 
-// This file owns the sockets: it carries the reducer's effects out on lesismal/nbio and turns its callbacks into
-// events, one after the other under one lock. It must never decide anything, nor know what the bytes mean.
+// This file owns the sockets: it carries the reducer's effects out on lesismal/nbio and turns its callbacks
+// into events, one after the other under one lock. It must never decide anything, nor know what the bytes
+// mean.
 //
-// Where nbio 1.6.8 falls short (docs/architecture.md has the probes): its DialAsync gives no connection until that
-// is up and says nothing of one that never is, so net.Dialer dials and nbio takes over; its Writev keeps nothing
-// of what follows the first piece that the kernel did not take whole, so what is left goes by Write; its OnData
-// tells a reset that follows data as an end, so OnRead reads here.
+// Where nbio 1.6.8 falls short (docs/architecture.md has the probes): its DialAsync gives no connection until
+// that is up and says nothing of one that never is, so net.Dialer dials and nbio takes over; its Writev keeps
+// nothing of what follows the first piece that the kernel did not take whole, so what is left goes by Write;
+// its OnData tells a reset that follows data as an end, so OnRead reads here.
 
 import (
 	"context"
@@ -179,8 +180,8 @@
 	}
 }
 
-// accept takes clients in. It waits where there is none to be had, against spinning without descriptors; nbio's
-// own listener asks again at once.
+// accept takes clients in. It waits where there is none to be had, against spinning without descriptors;
+// nbio's own listener asks again at once.
 func (s *Sockets) accept(listener net.Listener) {
 	for conn := uint64(1); ; conn++ {
 		s.mutex.Lock()
@@ -216,8 +217,8 @@
 	}()
 }
 
-// hold gives a connection to nbio, unless it was given up meanwhile. A client's is told of before its first bytes
-// can be; one that was dialed when it can be written to.
+// hold gives a connection to nbio, unless it was given up meanwhile. A client's is told of before its first
+// bytes can be; one that was dialed when it can be written to.
 func (s *Sockets) hold(conn uint64, plain net.Conn, kind Kind) {
 	nb, err := nbio.NBConn(plain)
 	if err != nil {
--- a/internal/relay/sockets_test.go
+++ b/internal/relay/sockets_test.go
@@ -16,7 +16,10 @@
 // Against nbio's Writev, which loses whatever follows the first piece that the kernel did not take whole.
 func TestGatheredWritesKeepEverything(t *testing.T) {
 	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048) })
+		return c.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF,
+				2048)
+		})
 	}}
 	listener, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -1,8 +1,8 @@
 package relay
 
 // This file is the part of the reducer for links that stand: lines passed on both ways, silence, and sending
-// clients elsewhere before their backend or this relay goes away. It must never move a link to even out load, hold
-// a whole line back, or place a link.
+// clients elsewhere before their backend or this relay goes away. It must never move a link to even out load,
+// hold a whole line back, or place a link.
 
 import (
 	"cmp"
@@ -39,7 +39,8 @@
 	r.arm(&l.server.wait, min(r.now+4*r.connectTime, l.giveUp))
 }
 
-// resumeLater tries again, as a link that stood is lost if its backend isn't found; at the end it is an error.
+// resumeLater tries again, as a link that stood is lost if its backend isn't found; at the end it is an
+// error.
 func (r *Reducer) resumeLater(l *link) {
 	if r.now+resumeGap >= l.giveUp {
 		r.Carry(l, logic.Answer{Verdict: logic.Fail})
@@ -87,7 +88,7 @@
 }
 
 func (r *Reducer) toServer(l *link, data []byte) {
-	r.LinesIn++
+	r.Pieces++
 	r.write(l.server, data)
 	r.arm(&l.client.wait, r.now+idleClient)
 	if l.quiet.place == 0 {
@@ -109,7 +110,7 @@
 		}
 		data = rest
 		r.disarm(&l.quiet)
-		r.LinesOut++
+		r.Lines++
 		r.write(l.client, line)
 		switch verb, said := lines.Verb(line); string(verb) {
 		case "LOAD":
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,6 @@
-// Package settings hands each part of the module its own few settings. They come as values under paths, from the
-// wire's pairs or from flattened JSON, so that both drivers build the same module. It keeps nothing itself.
+// Package settings hands each part of the module its own few settings. They come as values under paths, from
+// the wire's pairs or from flattened JSON, so that both drivers build the same module. It keeps nothing
+// itself.
 package settings
 
 import (
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,7 +13,8 @@
 	for _, c := range []struct{ name, frame, want string }{
 		{"short header", "0000000014", "offset 5: a batch header of 20 bytes expected"},
 		{"length under the header", "00000000050000000000000000000000" + "01000000", "offset 4: a frame length"},
-		{"frame cut short", "0100000040000000" + "0000000000000000" + "01000000" + "0701", "offset 22: a frame of 64"},
+		{"frame cut short", "0100000040000000" + "0000000000000000" + "01000000" + "0701",
+			"offset 22: a frame of 64"},
 		{"huge length", "01000000ffffffff" + "0000000000000000" + "01000000" + "0701", "offset 22: a frame of"},
 		{"more records than fit", "ff00000016000000" + "0000000000000000" + "01000000" + "0701", "offset 0"},
 		{"clock not a number", "0000000014000000" + "000000000000f87f" + "01000000", "offset 8: a finite clock"},
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -241,8 +241,8 @@
 	}
 }
 
-// Against all relays' even shares on an idle, cold server, and against each of hundreds spending one link on it at
-// once: what all send together, in a wave too, stays under what it can take.
+// Against all relays' even shares on an idle, cold server, and against each of hundreds spending one link on
+// it at once: what all send together, in a wave too, stays under what it can take.
 func TestWarmupBudget(t *testing.T) {
 	for _, c := range []struct {
 		name          string
@@ -275,8 +275,8 @@
 	}
 }
 
-// Against hundreds of relays that each keep a whole fleet in use: a link has a few servers asked as it comes, and
-// goes to one that answered.
+// Against hundreds of relays that each keep a whole fleet in use: a link has a few servers asked as it comes,
+// and goes to one that answered.
 func TestLinksAskAsTheyCome(t *testing.T) {
 	for seed := range int64(10) {
 		b := fleet{Loads: make([]float64, 60), Relays: 220, Seed: seed}.build(t)
@@ -372,7 +372,8 @@
 	}
 }
 
-// Against a wave on an overrun store: set-ups that are late or fail narrow how many are out, others wait here.
+// Against a wave on an overrun store: set-ups that are late or fail narrow how many are out, others wait
+// here.
 func TestSetupsOutAtOnce(t *testing.T) {
 	for _, c := range []struct {
 		name    string
@@ -427,8 +428,8 @@
 	assert.Greater(t, b.effects.width, 5.0, "it widens when set-ups stand in good time")
 }
 
-// Against links that go round, shed by one full server after the other: one shed soon after it stood narrows the
-// set-ups far; one that stood for long, or on a silent server, does not.
+// Against links that go round, shed by one full server after the other: one shed soon after it stood narrows
+// the set-ups far; one that stood for long, or on a silent server, does not.
 func TestLinksThatGoRound(t *testing.T) {
 	for _, c := range []struct {
 		after  float64
