--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -57,7 +57,6 @@
 	timer   *time.Timer
 	held    bool // no client is accepted
 	freed   *sync.Cond
-	waiting []Event // that effects led to
 	parts   [][]byte
 	quit    chan struct{}
 }
@@ -142,11 +141,6 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.carryOut(s.reducer.Take(s.now(), e))
-	for len(s.waiting) > 0 {
-		e := s.waiting[0]
-		s.waiting = s.waiting[1:]
-		s.carryOut(s.reducer.Take(s.now(), e))
-	}
 }
 
 func (s *Sockets) carryOut(effects []Effect) {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Nested JSON and the wire's pairs are the same settings.
+func TestFlatten(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want map[string]string
+	}{
+		{`{"zone":0,"fees":{"probe":0.002},"discovery":"subscribe"}`,
+			map[string]string{"zone": "0", "fees.probe": "0.002", "discovery": "subscribe"}},
+		{`{"categories":[{"name":"a","gain":1.0,"stream":true},{"name":"b"}]}`, map[string]string{
+			"categories.count": "2", "categories.0.name": "a", "categories.0.gain": "1.0",
+			"categories.0.stream": "true", "categories.1.name": "b"}},
+		{`{"stats":{"fields":["cpu","x0"]},"quota":[22.0,3],"none":[],"nothing":null}`,
+			map[string]string{"stats.fields": "cpu,x0", "quota": "22.0,3", "none": ""}},
+		{`{"large":9007199254740993}`, map[string]string{"large": "9007199254740993"}},
+	} {
+		got, err := Flatten([]byte(c.text))
+		require.NoError(t, err)
+		assert.Equal(t, c.want, got)
+	}
+	for _, text := range []string{``, `[]`, `{"a":`, `7`} {
+		_, err := Flatten([]byte(text))
+		assert.ErrorContains(t, err, "settings", text)
+	}
+}
+
+func TestFirstWrongSettingIsNamed(t *testing.T) {
+	p := Over(map[string]string{"a": "1.5", "b": "-1", "c": "yes", "d": "odd", "e": "NaN"})
+	assert.Equal(t, 1.5, p.Number("a"))
+	assert.Equal(t, 7.0, p.Optional("absent", 7))
+	require.NoError(t, p.Err())
+	for path, ask := range map[string]func(*Pairs){
+		"b": func(p *Pairs) { p.Number("b") }, "c": func(p *Pairs) { p.Flag("c") }, "e": func(p *Pairs) { p.Number("e") },
+		"d": func(p *Pairs) { p.Word("d", "even") }, "a": func(p *Pairs) { p.Count("a") },
+		"absent": func(p *Pairs) { p.Number("absent") },
+	} {
+		p := Over(p.values)
+		ask(p)
+		p.Number("z")
+		assert.ErrorContains(t, p.Err(), "settings: "+path+":")
+	}
+}
