Nothing is told behind a backend's BYE; what it sends after that can't break the end

Seen on a read-through, shown by the table of standing links first: an over-long rest behind BYE, in the same piece, made the reducer break both sides (standing.go, fromServer) where the client should read BYE and an end; and a backend that left in that half second had its client told MOVE behind BYE (move). Lines are now read no further than the last word.

--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -98,14 +98,14 @@
 
 // fromServer passes whole lines on, so that a line of the relay's own always falls between two of them.
 func (r *Reducer) fromServer(l *link, data []byte) {
-	for len(data) > 0 && l.stage == standing {
+	for len(data) > 0 && l.stage == standing && !l.ending {
 		line, rest, err := l.server.in.Next(data)
 		if err != nil {
 			r.note("line too long from a backend", "backend", l.server.backend.Name)
 			r.finish(l, BadAnswer, Break)
 			return
 		}
-		if line == nil || l.ending {
+		if line == nil {
 			return
 		}
 		data = rest
@@ -165,8 +165,12 @@
 	r.table.After(r.now, l, how.outcome(), true)
 }
 
-// move has the client come again elsewhere.
+// move has the client come again elsewhere. One that its backend has said the last word to is only ended.
 func (r *Reducer) move(l *link, why Ending) {
+	if l.ending {
+		r.finish(l, l.last, End)
+		return
+	}
 	r.Pushed++
 	r.write(l.client, []byte("MOVE\r\n"))
 	r.finish(l, why, End)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,7 +38,8 @@
 	assert.Equal(t, 7.0, p.Optional("absent", 7))
 	require.NoError(t, p.Err())
 	for path, ask := range map[string]func(*Pairs){
-		"b": func(p *Pairs) { p.Number("b") }, "c": func(p *Pairs) { p.Flag("c") }, "e": func(p *Pairs) { p.Number("e") },
+		"b": func(p *Pairs) { p.Number("b") }, "c": func(p *Pairs) { p.Flag("c") },
+		"e": func(p *Pairs) { p.Number("e") },
 		"d": func(p *Pairs) { p.Word("d", "even") }, "a": func(p *Pairs) { p.Count("a") },
 		"absent": func(p *Pairs) { p.Number("absent") },
 	} {
