The only relay that stops tells all its clients at once

With no other relay those told first wait for its return, and it returns when the last is told; the wave that pacing is for comes at its return either way.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -3,9 +3,8 @@
 // Balancer a relay, never shared. Three calls answer: Place (where to send this link, or not yet, or never),
 // After (what to do after this outcome) and Next (how long to wait, and the probe or subscription due; asked
 // until it names none). Leave paces links that must go. What is seen comes in by ListBegan, Listed,
-// ListEnded, ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished. Plain types and
-// bookkeeping are in types.go; the interface is the exported methods of Balancer. Times are milliseconds on
-// the caller's clock.
+// ListEnded, ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished. Plain types and their
+// bookkeeping are in types.go; the interface is Balancer's methods. Times are milliseconds, on one clock.
 package logic
 
 import (
@@ -546,9 +545,12 @@
 	b.turns.stale = true
 }
 
-// Leave says how long the nth of so many links that must go is left where it is, within the time that is
-// known (0: none is). Against a fleet placed anew by one late report: they come again at once.
+// Leave says how long the nth of so many links that must go is left where it is: within what a stop leaves,
+// or as a server goes (0). Against a fleet placed anew by one late report: they come again at once.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
+	if within > 0 && b.shares.relays < 2 {
+		return 0 // nobody else takes them: those told first would only wait longer for the relay's return
+	}
 	return min(cmp.Or(within, leaveOver), leaveOver) * float64(nth) / float64(of)
 }
 
