--- a/cmd/valeshift/helpers_test.go
+++ b/cmd/valeshift/helpers_test.go
@@ -169,6 +169,16 @@
 	l.changed = make(chan struct{})
 }
 
+// watched waits for the first watch.
+func (l *list) watched(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		return l.calls > 0
+	}, soon, time.Millisecond)
+}
+
 func (l *list) text() (string, <-chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/cmd/valeshift/main_test.go
+++ b/cmd/valeshift/main_test.go
@@ -237,6 +237,7 @@
 	b := newBackend(t, "b1")
 	r := start(t, 0, b)
 	r.stands(b)
+	r.list.watched(t) // against a relay that finds it down from the start, and no watch to break
 	r.list.mutex.Lock()
 	r.list.status = 503
 	r.list.mutex.Unlock()
