Read-through: one way to dial for a link, one way to end a try, FNV of the library

Written twice and now once: dialing for a try and for a link that stood before (reach); ending a try whose client has gone, in stand and in tryOver; names to places, in the relay and in the settings; FNV-1a by hand beside hash/fnv.

Derived or dead and taken out: a link's place among its backend's links, timers' actions set in begin and set again before they can fire, a client's connection marked as up, a reason for a watch that ends without one, a stand-in's stop. A stop looks at the clock before it walks over the connections.

Clients of a leaving backend are now told in the order they stood, where ends before used to shuffle them; nothing else that can be seen has changed. No test's assertion has.

--- a/cmd/valeshift/helpers_test.go
+++ b/cmd/valeshift/helpers_test.go
@@ -94,15 +94,14 @@
 	links   chan *peer
 	heads   chan string
 	probed  chan struct{}
-	stop    func()
 }
 
 func newBackend(t *testing.T, name string) *backend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	b := &backend{t: t, name: name, address: l.Addr().String(), links: make(chan *peer, 1000),
-		heads: make(chan string, 1000), probed: make(chan struct{}, 1000), stop: func() { l.Close() }}
-	t.Cleanup(b.stop)
+		heads: make(chan string, 1000), probed: make(chan struct{}, 1000)}
+	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -169,6 +168,13 @@
 	l.changed = make(chan struct{})
 }
 
+// answer has the next calls answered by that status, or by the list again (0).
+func (l *list) answer(status int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.status = status
+}
+
 // watched waits for the first watch.
 func (l *list) watched(t *testing.T) {
 	t.Helper()
--- a/cmd/valeshift/main_test.go
+++ b/cmd/valeshift/main_test.go
@@ -238,33 +238,28 @@
 	r := start(t, 0, b)
 	r.stands(b)
 	r.list.watched(t) // against a relay that finds it down from the start, and no watch to break
-	r.list.mutex.Lock()
-	r.list.status = 503
-	r.list.mutex.Unlock()
+	r.list.answer(503)
 	r.list.set("{") // ends the watch with broken JSON
 	r.wait(`msg="watch failed" why="list: `)
 	r.wait(`msg="watch failed" why="watch: status 503"`)
 	r.stands(b)
-	r.list.mutex.Lock()
-	r.list.status = 0
-	r.list.mutex.Unlock()
+	r.list.answer(0)
 	b2 := newBackend(t, "b2")
 	r.list.set(r.list.entry("b2", b2.address, "active"))
-	server, _ := func() (*peer, string) {
-		for until := time.Now().Add(soon); ; time.Sleep(little) {
-			client := r.dial()
-			client.say("OPEN 1 2 c=feed,t=one,d=2000")
-			select {
-			case head := <-b2.heads:
-				return <-b2.links, head
-			case <-b.heads:
-				(<-b.links).Close()
-			case <-time.After(little):
-			}
-			require.True(t, time.Now().Before(until), r.text())
+	until := time.Now().Add(soon)
+	for found := false; !found; time.Sleep(little) {
+		client := r.dial()
+		client.say("OPEN 1 2 c=feed,t=one,d=2000")
+		select {
+		case <-b2.heads:
+			(<-b2.links).say("UP found")
+			found = true
+		case <-b.heads:
+			(<-b.links).Close()
+		case <-time.After(little):
 		}
-	}()
-	server.say("UP found")
+		require.True(t, time.Now().Before(until), r.text())
+	}
 }
 
 func TestBadConfiguration(t *testing.T) {
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -7,7 +7,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -85,10 +87,8 @@
 		if !ok || len(name) == 0 {
 			return h, errors.New("head: name=value expected")
 		}
-		for _, other := range seen {
-			if other == string(name) {
-				return h, fmt.Errorf("head: %s stands twice", name)
-			}
+		if slices.Contains(seen, string(name)) {
+			return h, fmt.Errorf("head: %s stands twice", name)
 		}
 		seen = append(seen, string(name))
 		var err error
@@ -138,11 +138,9 @@
 	if v, err := strconv.ParseUint(string(text), 16, 64); err == nil {
 		return v
 	}
-	sum := uint64(14695981039346656037) // FNV-1a
-	for _, c := range text {
-		sum = (sum ^ uint64(c)) * 1099511628211
-	}
-	return sum
+	sum := fnv.New64a()
+	sum.Write(text)
+	return sum.Sum64()
 }
 
 // Out is the head as it goes on, in pieces to be written together: unchanged but for the wait.
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -104,11 +104,7 @@
 // list takes what the watch brought.
 func (r *Reducer) list(e Event) {
 	if e.Kind == ListFailed {
-		why := "ended"
-		if e.Err != nil {
-			why = e.Err.Error()
-		}
-		r.listFailed(why)
+		r.listFailed(e.Err.Error())
 		return
 	}
 	r.arm(&r.watched, r.now+watchBeat)
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -117,7 +117,7 @@
 	conn    uint64
 	link    *link
 	backend *backend // that it goes to; nil: a client's
-	up      bool
+	up      bool     // a backend's
 	pinged  bool
 	in      lines.Splitter
 	wait    timer
@@ -147,7 +147,6 @@
 	ending bool   // it said so
 	quiet  timer  // for lines that bring nothing back
 	leave  timer
-	place  int // among its backend's
 }
 
 // Reducer is the state of one relay.
@@ -199,14 +198,14 @@
 		return nil, err
 	}
 	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, most: math.MaxInt, room: math.MaxInt,
-		dials: dialed, categories: numbers(p.Names("categories")), parties: numbers(p.Names("parties")),
+		dials: dialed, categories: p.Names("categories"), parties: p.Names("parties"),
 		zones: p.Places("localities"), fields: p.Fields(), reports: p.Text("stats.how") == "answers",
 		mayCancel: p.Text("limits.may-cancel") != "false",
 		maxBack:   p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
 		mostHeld: int(p.Optional("limits.most-held", math.MaxInt32)),
 		backends: map[string]*backend{}, byID: map[uint32]*backend{}}
-	for i := range r.categories {
-		r.longest = max(r.longest, p.Number("categories."+strconv.Itoa(r.categories[i])+".hard-limit-ms"))
+	for _, i := range r.categories {
+		r.longest = max(r.longest, p.Number("categories."+strconv.Itoa(i)+".hard-limit-ms"))
 	}
 	if sockets > 0 {
 		r.most = sockets - spareFiles
@@ -229,21 +228,12 @@
 	return r, nil
 }
 
-func numbers(names []string) map[string]int {
-	m := make(map[string]int, len(names))
-	for i, n := range names {
-		m[n] = i
-	}
-	return m
-}
-
 // Take takes one event and gives what is to be done, good until the next call.
 func (r *Reducer) Take(now float64, e Event) []Effect {
 	r.now = now
-	if e.Kind == Tick {
-		r.armed = math.Inf(1)
-	}
 	switch e.Kind {
+	case Tick:
+		r.armed = math.Inf(1)
 	case Opened:
 		r.opened(e.Conn)
 	case Up, Came, Over:
@@ -262,7 +252,7 @@
 	}
 	wake := r.table.Drive(now)
 	r.gate()
-	if r.stopping && r.idle() && now >= r.stopAt+lastComers {
+	if r.stopping && now >= r.stopAt+lastComers && r.idle() {
 		r.leave()
 	}
 	if len(r.timers) > 0 {
@@ -341,7 +331,7 @@
 func (r *Reducer) opened(conn uint64) {
 	r.Accepted++
 	l := &link{}
-	c := r.add(&end{conn: conn, link: l, up: true})
+	c := r.add(&end{conn: conn, link: l})
 	l.client = c
 	c.wait.fire = func() { r.refuse(l, "no head in time") }
 	r.arm(&c.wait, r.now+headTime)
@@ -461,8 +451,6 @@
 		l.Party = len(r.parties) // one without a share
 	}
 	r.disarm(&l.client.wait)
-	l.quiet.fire = func() { r.move(l, FellSilent) }
-	l.leave.fire = func() { r.move(l, MovedAway) }
 	r.Heads++
 	r.links++
 	l.stage = placing
@@ -518,9 +506,14 @@
 	r.Tries++
 	l.stage = trying
 	l.giveUp = r.now + timeout
+	r.reach(l, b, r.connectTime)
+}
+
+// reach dials the backend for the link, which has to be up within that time.
+func (r *Reducer) reach(l *link, b *backend, within float64) {
 	l.server = r.dial(b, l)
 	l.server.wait.fire = func() { r.tryOver(l, NeverUp) }
-	r.arm(&l.server.wait, min(r.now+r.connectTime, l.giveUp))
+	r.arm(&l.server.wait, min(r.now+within, l.giveUp))
 }
 
 func (r *Reducer) tryUp(l *link) {
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -34,9 +34,7 @@
 		r.resumeLater(l)
 		return
 	}
-	l.server = r.dial(b, l)
-	l.server.wait.fire = func() { r.tryOver(l, NeverUp) }
-	r.arm(&l.server.wait, min(r.now+4*r.connectTime, l.giveUp))
+	r.reach(l, b, 4*r.connectTime)
 }
 
 // resumeLater tries again, as a link that stood is lost if its backend isn't found; at the end it is an
@@ -52,15 +50,12 @@
 
 // stand takes that the backend has the link.
 func (r *Reducer) stand(l *link, line []byte) {
-	c := l.server
-	r.disarm(&c.wait)
 	if l.client == nil { // gone, with a setup try that might not be called off
-		r.Endings[ClientBroke]++
-		r.leaveHand(l)
-		r.forget(c, End)
-		r.table.After(r.now, l, ClientBroke.outcome(), true)
+		r.tryOver(l, ClientBroke)
 		return
 	}
+	c := l.server
+	r.disarm(&c.wait)
 	if l.stage == resuming {
 		r.Resumed++
 		r.table.Balancer.Resumed(r.now, &l.Link.Link, c.backend.id)
@@ -69,9 +64,9 @@
 		r.table.Balancer.Accepted(r.now, &l.Link.Link)
 	}
 	l.quiet.fire = func() { r.move(l, FellSilent) }
+	l.leave.fire = func() { r.move(l, MovedAway) }
 	l.stage = standing
 	r.Standing++
-	l.place = len(c.backend.links)
 	c.backend.links = append(c.backend.links, l)
 	r.write(l.client, line)
 	l.client.wait.fire = func() { r.move(l, MovedAway) }
@@ -153,10 +148,7 @@
 	r.Endings[how]++
 	r.Standing--
 	b := l.server.backend
-	last := len(b.links) - 1
-	b.links[l.place] = b.links[last]
-	b.links[l.place].place = l.place
-	b.links[last], b.links = nil, b.links[:last]
+	b.links = slices.DeleteFunc(b.links, func(other *link) bool { return other == l })
 	r.leaveHand(l)
 	if l.client != nil {
 		r.forget(l.client, both)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,22 +85,26 @@
 	return 0
 }
 
-// Names reads the names of a list of things; the place of each is its number in the module.
-func (p *Pairs) Names(path string) []string {
+// Names reads the names of a list of records as the place of each, which is its number in the module.
+func (p *Pairs) Names(path string) map[string]int {
 	var names []string
 	for i := range int(min(p.Optional(path+".count", 0), 1e6)) {
 		names = append(names, p.values[fmt.Sprintf("%s.%d.name", path, i)])
 	}
-	return names
+	return places(names)
 }
 
 // Places reads a plain list of names as the place of each.
 func (p *Pairs) Places(path string) map[string]int {
-	places := map[string]int{}
-	for i, name := range strings.Split(p.values[path], ",") {
-		places[name] = i
+	return places(strings.Split(p.values[path], ","))
+}
+
+func places(names []string) map[string]int {
+	m := make(map[string]int, len(names))
+	for i, name := range names {
+		m[name] = i
 	}
-	return places
+	return m
 }
 
 // Fields reads which values a load report has; none where nothing reports.
