A reload on SIGHUP: another discovery is asked for its whole list, nothing else changes

At fault: main caught only SIGTERM and SIGUSR1; discovery's address was fixed at the start. Now: the file is read and checked whole, the outcome is one event of the reducer; the file's address goes before the environment's; a new discovery is asked from version 0, four times a second until it has told; a bad file changes nothing and is logged. Tests: a table on the reducer and the started program; both fail without the change.

--- a/cmd/valeshift/helpers_test.go
+++ b/cmd/valeshift/helpers_test.go
@@ -145,6 +145,7 @@
 
 // list is a stand-in for discovery.
 type list struct {
+	address string
 	mutex   sync.Mutex
 	index   int
 	entries []string
@@ -223,6 +224,7 @@
 type process struct {
 	t       *testing.T
 	cmd     *exec.Cmd
+	config  string // its path
 	address string
 	mutex   sync.Mutex
 	said    bytes.Buffer
@@ -239,9 +241,7 @@
 		"connect-timeout-ms":250,
 		"may-cancel":true}}`
 
-// start starts a relay whose list has the backends given; sockets is its limit on descriptors.
-func start(t *testing.T, sockets int, backends ...*backend) *process {
-	t.Helper()
+func newList(t *testing.T, backends ...*backend) *list {
 	l := &list{index: 1, changed: make(chan struct{})}
 	for _, b := range backends {
 		l.entries = append(l.entries, l.entry(b.name, b.address, "active"))
@@ -251,13 +251,25 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
+	l.address = strings.TrimPrefix(server.URL, "http://")
+	return l
+}
+
+// config is a configuration that names this discovery.
+func (l *list) config(sockets int) string {
 	known, _ := l.text()
-	config, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
-		"discovery": strings.TrimPrefix(server.URL, "http://"), "seed": "8c1f30d27a5be964",
+	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
+		"discovery": l.address, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
 		"known":  json.RawMessage(known), "settings": json.RawMessage(told)})
-	require.NoError(t, err)
-	r := run(t, string(config))
+	return string(text)
+}
+
+// start starts a relay whose list has the backends given; sockets is its limit on descriptors.
+func start(t *testing.T, sockets int, backends ...*backend) *process {
+	t.Helper()
+	l := newList(t, backends...)
+	r := run(t, l.config(sockets))
 	r.list = l
 	found := r.wait(`msg=serving .*listen=(\S+)`)
 	require.NotNil(t, found, "not serving: %s", r.text())
@@ -270,8 +282,11 @@
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
-	r := &process{t: t, cmd: exec.Command(program), done: make(chan struct{})}
-	r.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_DISCOVERY=")
+	r := &process{t: t, cmd: exec.Command(program), config: path, done: make(chan struct{})}
+	var file struct{ Discovery string }
+	json.Unmarshal([]byte(config), &file) // the environment has it too, as in service
+	r.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=", "RELAY_LISTEN=",
+		"RELAY_DISCOVERY="+file.Discovery)
 	r.cmd.Stderr = r
 	require.NoError(t, r.cmd.Start())
 	go func() {
@@ -341,4 +356,11 @@
 	return r.cmd.ProcessState.ExitCode()
 }
 
+// reload replaces the configuration and has the program read it.
+func (r *process) reload(config string) {
+	r.t.Helper()
+	require.NoError(r.t, os.WriteFile(r.config, []byte(config), 0o600))
+	r.signal(syscall.SIGHUP)
+}
+
 func (r *process) signal(s syscall.Signal) { require.NoError(r.t, r.cmd.Process.Signal(s)) }
--- a/cmd/valeshift/main.go
+++ b/cmd/valeshift/main.go
@@ -13,6 +13,8 @@
 )
 
 func main() {
+	// Before all else: against a signal that comes early ending the program.
+	stop, print, reload := on(syscall.SIGTERM, os.Interrupt), on(syscall.SIGUSR1), on(syscall.SIGHUP)
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	told, err := relay.ReadTold(os.Getenv)
 	if err != nil {
@@ -24,8 +26,8 @@
 	if told.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(told.MemoryMB * 0.6 * (1 << 20)))
 	}
-	stop, print := on(syscall.SIGTERM, os.Interrupt), on(syscall.SIGUSR1)
-	if err := relay.Serve(told, log, stop, print); err != nil {
+	again := func() (*relay.Told, error) { return relay.ReadAgain(os.Getenv) }
+	if err := relay.Serve(told, again, log, stop, print, reload); err != nil {
 		log.Error("can't serve", "err", err)
 		os.Exit(1)
 	}
--- a/cmd/valeshift/main_test.go
+++ b/cmd/valeshift/main_test.go
@@ -233,6 +233,38 @@
 	r.wait(`"endings.slow reader"=1`)
 }
 
+// Against SIGHUP ending the program, a bad file taking anything away, and the former discovery being kept.
+func TestReload(t *testing.T) {
+	b1, b2 := newBackend(t, "b1"), newBackend(t, "b2")
+	r := start(t, 0, b1)
+	client, server := r.stands(b1)
+	r.list.set(r.list.entry("b1", b1.address, "active")) // versions of the next count from 1
+	for _, c := range []struct{ text, field string }{{`{"name":`, "config.json"}, {"", "config.json"},
+		{strings.Replace(r.list.config(0), `"seed"`, `"seeds"`, 1), "seed"},
+		{strings.Replace(r.list.config(0), `"probes":true`, `"probes":7`, 1), "limits.probes"}} {
+		r.reload(c.text)
+		r.wait(`reload refused.*` + c.field)
+	}
+	former, next := r.list, newList(t, b1, b2)
+	r.reload(next.config(0))
+	next.watched(t)
+	r.reload(next.config(0))
+	r.wait(`msg=reloaded .*changed=false`)
+	next.set(next.entry("b1", b1.address, "active"), next.entry("b2", b2.address, "active"))
+	client.say("still here")
+	assert.Equal(t, "still here", server.hear())
+	former.set(former.entry("b1", b1.address, "leaving")) // nobody listens to it
+	next.set(next.entry("b1", b1.address, "leaving"), next.entry("b2", b2.address, "active"))
+	assert.Equal(t, []string{"MOVE", "end"}, []string{client.hear(), client.hear()})
+	r.stands(b2)
+	r.signal(syscall.SIGTERM)
+	r.wait("msg=stopping")
+	r.reload(former.config(0))
+	r.wait(`msg=reloaded .*changed=true`)
+	assert.Zero(t, r.exit(), r.text())
+	r.wait(`in.reloads=3 "in.bad reloads"=4`)
+}
+
 func TestDiscoveryDown(t *testing.T) {
 	b := newBackend(t, "b1")
 	r := start(t, 0, b)
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -12,6 +12,8 @@
 
 const (
 	watchBeat  = 3500.0 // an empty line comes every two seconds; one missed is the end of the watch
+	renewBeat  = 1200.0 // and for the first line of a discovery that a reload names: it has four seconds to tell
+	renewGap   = 250.0  // before that one is asked again
 	probeWaits = 2      // times the time for a connect, for a probe's answer
 )
 
@@ -118,6 +120,8 @@
 		r.listFailed("version went back")
 		return
 	}
+	r.untold = false
+	r.disarm(&r.renewing)
 	r.apply(e.News)
 	r.nowReady()
 }
@@ -127,6 +131,25 @@
 	r.watching = 0
 	r.disarm(&r.watched)
 	r.table.Balancer.ListFailed(r.now)
+	if r.untold { // the module's waits grow beyond the time in which a new one counts as having told
+		r.arm(&r.renewing, r.now+renewGap)
+	}
+}
+
+// reload takes that the file was read again. Against a discovery that counts its versions afresh, the whole
+// list is asked for; until it comes, what was known stays.
+func (r *Reducer) reload(e Event) {
+	if e.Err != nil {
+		r.BadReloads++
+		r.note("reload refused, all stays as it was", "why", e.Err.Error())
+		return
+	}
+	r.Reloads++
+	r.note("reloaded", "discovery", e.Text, "changed", e.Text != r.source)
+	if e.Text != r.source {
+		r.source, r.untold, r.index = e.Text, true, 0
+		r.watch()
+	}
 }
 
 // watchQuiet takes that the watch has brought nothing for too long.
@@ -139,8 +162,12 @@
 	r.Watches++
 	r.watches++
 	r.watching, r.asked = r.watches, r.index
-	r.do(Effect{Do: Watch, Conn: r.watching, After: r.index})
-	r.arm(&r.watched, r.now+watchBeat)
+	r.do(Effect{Do: Watch, Conn: r.watching, After: r.index, Text: r.source})
+	if r.untold {
+		r.arm(&r.watched, r.now+renewBeat)
+	} else {
+		r.arm(&r.watched, r.now+watchBeat)
+	}
 }
 
 // Subscribe has the list watched. A watch that still brings its empty lines needs no other.
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -1,8 +1,8 @@
 package relay
 
-// This file reads what a relay is told at its start: a JSON file, and the environment before it. It owns the
-// names of those fields and says which of them is missing or wrong. It must never act on what it reads, nor
-// keep it.
+// This file reads what a relay is told at its start and at a reload: a JSON file, and the environment before
+// it. It owns the names of those fields and says which of them is missing or wrong. It must never act on what
+// it reads, nor keep it.
 
 import (
 	"encoding/json"
@@ -24,6 +24,17 @@
 	Settings                map[string]string
 }
 
+// ReadAgain reads the file for a reload. Against staying with a discovery that is gone: the environment names
+// that of the start, so the file's goes before it now.
+func ReadAgain(getenv func(string) string) (*Told, error) {
+	return ReadTold(func(name string) string {
+		if name == "RELAY_DISCOVERY" {
+			return ""
+		}
+		return getenv(name)
+	})
+}
+
 // ReadTold reads the file that RELAY_CONFIG names. What the environment says goes before the file.
 func ReadTold(getenv func(string) string) (*Told, error) {
 	path := getenv("RELAY_CONFIG")
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -8,6 +8,7 @@
 // Counters is what was counted since the start.
 type Counters struct {
 	Accepted, Pings, Heads, BadHeads, Resumed      uint64 // taken in
+	Reloads, BadReloads                            uint64
 	Tries, Probes, Watches                         uint64 // sent
 	Satisfied, Rejected, Errored, Unwanted, Pushed uint64 // answered: UP, BUSY, ERR; client gone first; MOVE
 	Pieces, Lines                                  uint64 // of what standing clients said; passed to them
@@ -25,7 +26,8 @@
 	}
 	log.Info("counters", "why", why,
 		slog.Group("in", "accepted", c.Accepted, "pings", c.Pings, "heads", c.Heads, "bad heads", c.BadHeads,
-			"resumed", c.Resumed, "pieces", c.Pieces),
+			"resumed", c.Resumed, "pieces", c.Pieces,
+			"reloads", c.Reloads, "bad reloads", c.BadReloads),
 		slog.Group("sent", "tries", c.Tries, "probes", c.Probes, "watches", c.Watches, "lines", c.Lines),
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
 			"unwanted", c.Unwanted, "moved", c.Pushed),
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -73,32 +73,31 @@
 
 // discovery holds one watch at a time.
 type discovery struct {
-	client  *http.Client
-	address string
-	take    func(Event)
-	stop    context.CancelFunc
+	client *http.Client
+	take   func(Event)
+	stop   context.CancelFunc
 }
 
-func newDiscovery(address string, take func(Event)) *discovery {
+func newDiscovery(take func(Event)) *discovery {
 	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}
-	return &discovery{address: address, take: take, stop: func() {}, client: &http.Client{
+	return &discovery{take: take, stop: func() {}, client: &http.Client{
 		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
 }
 
-// watch opens a watch in place of the one before, whose events are known by their number and dropped.
-func (d *discovery) watch(number, after uint64) {
+// watch opens a watch at the address in place of the one before, whose events are known by their number and dropped.
+func (d *discovery) watch(address string, number, after uint64) {
 	d.stop()
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	go func() {
-		err := d.follow(ctx, number, after)
+		err := d.follow(ctx, address, number, after)
 		stop()
 		d.take(Event{Kind: ListFailed, Conn: number, Err: err})
 	}()
 }
 
-func (d *discovery) follow(ctx context.Context, number, after uint64) error {
-	url := "http://" + d.address + "/api/targets?watch=1&after=" + strconv.FormatUint(after, 10)
+func (d *discovery) follow(ctx context.Context, address string, number, after uint64) error {
+	url := "http://" + address + "/api/targets?watch=1&after=" + strconv.FormatUint(after, 10)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return fmt.Errorf("watch: %w", err)
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -33,6 +33,7 @@
 	ListHeard              // the watch brought an empty line
 	ListFailed             // the watch ended
 	Stop                   // the relay is to stop
+	Reload                 // the file was read again
 )
 
 // Event is one thing that happened.
@@ -44,7 +45,8 @@
 	Unsent bool // Over: with something not written yet
 	Slow   bool // Over: as it took in too little of what was written
 	News   *News
-	Err    error // ListFailed
+	Err    error  // ListFailed; Reload: why the file can't be used
+	Text   string // Reload: the address of discovery
 }
 
 // Do is what an effect asks for.
@@ -57,7 +59,7 @@
 	End      // end the connection once all is written
 	Break    // reset it now, or stop dialing
 	Arm      // have Tick come at At
-	Watch    // watch the list as Conn, from After on, in place of any other watch
+	Watch    // watch the list at Text as Conn, from After on, in place of any other watch
 	Unwatch
 	Hold // take in no further client
 	Free // and again
@@ -69,7 +71,7 @@
 type Effect struct {
 	Do    Do
 	Conn  uint64
-	Text  string // Dial: the address; Note: what is said
+	Text  string // Dial, Watch: the address; Note: what is said
 	Parts [][]byte
 	At    float64
 	After uint64
@@ -175,6 +177,9 @@
 
 	backends map[string]*backend
 	byID     map[uint32]*backend
+	source   string // address of discovery
+	untold   bool   // that is new, and has not told the list yet
+	renewing timer
 	index    uint64
 	asked    uint64 // the version that the watch was asked from
 	watching uint64 // number of the watch, or 0
@@ -189,11 +194,10 @@
 	quit     bool
 }
 
-// New builds the relay's state. Values are the settings, sockets the limit on descriptors (0: none), known
-// the list as it was last.
-func New(now float64, seed uint64, values map[string]string, sockets int, known *News) (*Reducer, error) {
-	p := settings.Over(values)
-	balancer, err := p.Assemble(seed)
+// New builds the relay's state from what it is told.
+func New(now float64, t *Told) (*Reducer, error) {
+	p := settings.Over(t.Settings)
+	balancer, err := p.Assemble(t.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -202,27 +206,29 @@
 		zones: p.Places("localities"), fields: p.Fields(), reports: p.Text("stats.how") == "answers",
 		mayCancel: p.Text("limits.may-cancel") != "false",
 		maxBack:   p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
+		source:   t.Discovery,
 		mostHeld: int(p.Optional("limits.most-held", math.MaxInt32)),
 		backends: map[string]*backend{}, byID: map[uint32]*backend{}}
 	for _, i := range r.categories {
 		r.longest = max(r.longest, p.Number("categories."+strconv.Itoa(i)+".hard-limit-ms"))
 	}
-	if sockets > 0 {
-		r.most = sockets - spareFiles
+	if t.Sockets > 0 {
+		r.most = t.Sockets - spareFiles
 		r.room = r.most - max(r.most/headPart, fewHeads)
 		if r.room < perLink {
-			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink, sockets)
+			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink, t.Sockets)
 		}
 	}
 	if err := p.Err(); err != nil {
 		return nil, err
 	}
 	r.table = hand.NewTable(balancer, r)
-	r.apply(known)
+	r.apply(t.Known)
 	if p.Text("discovery") == "automatic" {
 		r.watch()
 	}
 	r.watched.fire = r.watchQuiet
+	r.renewing.fire = r.Subscribe
 	r.starting.fire = r.nowReady
 	r.arm(&r.starting, now+readyTime)
 	return r, nil
@@ -246,6 +252,8 @@
 		}
 	case Stop:
 		r.stop()
+	case Reload:
+		r.reload(e)
 	}
 	for len(r.timers) > 0 && r.timers[0].at <= now {
 		heap.Pop(&r.timers).(*timer).fire()
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -43,7 +43,8 @@
 	}
 	values, err := settings.Flatten([]byte(text))
 	require.NoError(t, err)
-	r, err := New(0, 5, values, sockets, &News{Whole: true, Entries: entries(backends)})
+	r, err := New(0, &Told{Seed: 5, Settings: values, Sockets: sockets, Discovery: "10.1.0.1:85",
+		Known: &News{Whole: true, Entries: entries(backends)}})
 	require.NoError(t, err)
 	s := &scene{Reducer: r, t: t}
 	s.at(0, "tick")
@@ -94,6 +95,10 @@
 		e = Event{Kind: ListHeard, Conn: s.conn(word[1])}
 	case "failed":
 		e = Event{Kind: ListFailed, Conn: s.conn(word[1]), Err: errors.New("told so")}
+	case "reload":
+		e = Event{Kind: Reload, Text: word[1]}
+	case "refuse":
+		e = Event{Kind: Reload, Err: errors.New("told so")}
 	case "stop":
 		e = Event{Kind: Stop}
 	default:
@@ -119,7 +124,8 @@
 		case Break:
 			said = append(said, "break "+name)
 		case Watch:
-			said = append(said, fmt.Sprint("watch ", name, " after ", f.After))
+			said = append(said, strings.TrimSuffix(fmt.Sprint("watch ", name, " after ", f.After, " at ", f.Text),
+				" at 10.1.0.1:85"))
 		case Unwatch:
 			said = append(said, "unwatch")
 		case Note:
@@ -426,6 +432,28 @@
 	assert.Equal(t, logic.Gone, s.named("b2").condition)
 }
 
+// Against a reload that loses what is known, waits too long for a new discovery, or refuses its fresh count.
+func TestReload(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.stands()
+	s.play("to another discovery", step{200, "news 1 7 whole b1=active b2=active", ""},
+		step{300, "refuse", ""}, step{301, "reload 10.1.0.1:85", ""},
+		step{302, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"}, step{303, "news 1 8 delta b1=leaving", ""},
+		step{310, "failed 2", ""}, step{560, "tick", "watch 3 after 0 at 10.1.0.2:85"},
+		step{1759, "tick", ""}, step{1760, "tick", "unwatch"},
+		step{2010, "tick", "watch 4 after 0 at 10.1.0.2:85"}, step{2011, "came 1 x|", "write s1 x|"},
+		step{2012, "news 4 2 whole b1=active b3=active", ""}, step{5511, "tick", ""}, step{5512, "tick", "unwatch"})
+	assert.Equal(t, logic.Gone, s.named("b2").condition)
+	assert.Equal(t, []uint64{2, 1}, []uint64{s.Reloads, s.BadReloads})
+	assert.Equal(t, 1, s.Standing)
+	s = open(t, nil, 0, "b1=active")
+	s.play("many in a row, one in a stop", step{1, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"},
+		step{2, "reload 10.1.0.3:85", "watch 3 after 0 at 10.1.0.3:85"}, step{3, "failed 2", ""}, step{4, "stop", ""},
+		step{5, "reload 10.1.0.1:85", "watch 4 after 0"}, step{6, "news 4 1 delta b1=leaving", ""},
+		step{504, "tick", "quit"})
+	assert.Equal(t, logic.Draining, s.named("b1").condition)
+}
+
 func TestNews(t *testing.T) {
 	for _, c := range []struct{ text, bad, err string }{
 		{`{"index":1,"snapshot":true,"endpoints":[{"name":"a","address":"1.2.3.4:5","status":"active"}]}`, "", ""},
@@ -488,7 +516,7 @@
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		told, err := ReadTold(func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] })
 		if err == nil {
-			_, err = New(0, told.Seed, told.Settings, told.Sockets, told.Known)
+			_, err = New(0, told)
 		}
 		if c.want == "" {
 			assert.NoError(t, err)
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -61,18 +61,19 @@
 	quit    chan struct{}
 }
 
-// Serve runs the relay until it has stopped. Stop and print bring the signals.
-func Serve(t *Told, log *slog.Logger, stop, print <-chan struct{}) error {
+// Serve runs the relay until it has stopped. Again reads anew what the relay is told; stop, print and reload
+// bring the signals.
+func Serve(t *Told, again func() (*Told, error), log *slog.Logger, stop, print, reload <-chan struct{}) error {
 	now := time.Now()
 	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
 		dialing: map[uint64]context.CancelFunc{}, quit: make(chan struct{})}
-	reducer, err := New(s.baseMS, t.Seed, t.Settings, t.Sockets, t.Known)
+	reducer, err := New(s.baseMS, t)
 	if err != nil {
 		return err
 	}
 	s.reducer = reducer
 	s.freed = sync.NewCond(&s.mutex)
-	s.discovery = newDiscovery(t.Discovery, s.take)
+	s.discovery = newDiscovery(s.take)
 	s.timer = time.AfterFunc(time.Hour, func() { s.take(Event{Kind: Tick}) })
 	logging.SetLogger(nbioLog{log})
 	if t.Sockets > 0 {
@@ -101,6 +102,8 @@
 			stop = nil
 		case <-print:
 			s.counters("asked")
+		case <-reload:
+			s.take(s.reloaded(again()))
 		case <-s.quit:
 			s.drain()
 			s.counters("exit")
@@ -109,6 +112,17 @@
 	}
 }
 
+// reloaded is the event of one reload. The file is checked whole, by the same steps as at the start.
+func (s *Sockets) reloaded(t *Told, err error) Event {
+	if err == nil {
+		_, err = New(s.now(), t)
+	}
+	if err != nil {
+		return Event{Kind: Reload, Err: err}
+	}
+	return Event{Kind: Reload, Text: t.Discovery}
+}
+
 func (s *Sockets) counters(why string) {
 	s.mutex.Lock()
 	c := s.reducer.Counters
@@ -160,7 +174,7 @@
 		case Arm:
 			s.timer.Reset(time.Duration(max(e.At-s.now(), 0) * float64(time.Millisecond)))
 		case Watch:
-			s.discovery.watch(e.Conn, e.After)
+			s.discovery.watch(e.Text, e.Conn, e.After)
 		case Unwatch:
 			s.discovery.stop()
 		case Hold, Free:
