Heads are judged whole, and clients without one give way within a second and a half

Log of each refusal: silent ones held for 5 s. At fault: begin let through waits without bound (one held a set-up out for good, and the module sends so many at once), ids of open links, unknown customers, and further commands behind a head; opened gave silent ones 5 s and gate had no way to let go of one. Ruled out: memory (5 of 64 MB), core (0.04 s in the busiest second). Now: control characters, over-long ids, waits above ten hard limits, unknown customers, ids in use and anything behind a head are ERR before a backend sees a byte; no head within 1.5 s is ERR, pings or none; beyond an eighth of the descriptors the silent ones that came first are told to come again.

--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -17,6 +17,9 @@
 // Longest is the most bytes of a line, its end included.
 const Longest = 4096
 
+// mostID is the most bytes of an id or a key.
+const mostID = 64
+
 // ErrTooLong says that a line had no end within the bound.
 var ErrTooLong = errors.New("line too long")
 
@@ -54,19 +57,23 @@
 
 // Head is a client's first line. Its byte fields lie in the line that was read.
 type Head struct {
-	Category, Party, At []byte
-	Key, Group          uint64
-	Wait, Hint          float64 // milliseconds
-	before, after       []byte  // of the line, around the figure of the wait
+	ID, Category, Party, At []byte
+	Key, Group              uint64
+	Wait, Hint              float64 // milliseconds
+	before, after           []byte  // of the line, around the figure of the wait
 }
 
-// ReadHead reads a whole line in place.
+// ReadHead reads a whole line in place. It lets nothing through that a backend could stumble over: one that
+// closes on what it can't read would take that for a fault of this relay's.
 func ReadHead(line []byte) (Head, error) {
 	var h Head
 	bare, ended := bytes.CutSuffix(line, []byte("\r\n"))
 	if !ended {
 		return h, errors.New("head: CRLF expected at its end")
 	}
+	if bytes.ContainsFunc(bare, func(c rune) bool { return c < ' ' || c > '~' }) {
+		return h, errors.New("head: a character that can't be printed")
+	}
 	verb, rest, _ := bytes.Cut(bare, []byte(" "))
 	id, rest, _ := bytes.Cut(rest, []byte(" "))
 	key, list, listed := bytes.Cut(rest, []byte(" "))
@@ -75,8 +82,10 @@
 		return h, errors.New("head: OPEN expected")
 	case len(id) == 0 || len(key) == 0 || !listed || bytes.IndexByte(list, ' ') >= 0:
 		return h, errors.New("head: an id, a key and a list expected")
+	case len(id) > mostID || len(key) > mostID:
+		return h, errors.New("head: id or key too long")
 	}
-	h.Key = Mark(key)
+	h.ID, h.Key = id, Mark(key)
 	seen := make([]string, 0, 8)
 	for at := len(bare) - len(list); at <= len(bare); {
 		pair := bare[at:]
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -7,8 +7,9 @@
 
 // Counters is what was counted since the start.
 type Counters struct {
-	Accepted, Pings, Heads, BadHeads, Resumed      uint64 // taken in
+	Accepted, Pings, Heads, Resumed, Holds         uint64 // taken in
 	Reloads, BadReloads                            uint64
+	BadClients                                     [len(badNames)]uint64
 	Tries, Probes, Watches                         uint64 // sent
 	Satisfied, Rejected, Errored, Unwanted, Pushed uint64 // answered: UP, BUSY, ERR; client gone first; MOVE
 	Pieces, Lines                                  uint64 // of what standing clients said; passed to them
@@ -18,19 +19,28 @@
 
 // Log writes them as one record.
 func (c Counters) Log(log *slog.Logger, why string) {
-	endings := make([]any, 0, len(c.Endings))
-	for e, n := range c.Endings {
-		if n > 0 {
-			endings = append(endings, slog.Uint64(Ending(e).String(), n))
-		}
-	}
+	endings, bad := counted[Ending](c.Endings[:]), counted[Badness](c.BadClients[:])
 	log.Info("counters", "why", why,
-		slog.Group("in", "accepted", c.Accepted, "pings", c.Pings, "heads", c.Heads, "bad heads", c.BadHeads,
-			"resumed", c.Resumed, "pieces", c.Pieces,
+		slog.Group("in", "accepted", c.Accepted, "pings", c.Pings, "heads", c.Heads,
+			"resumed", c.Resumed, "holds", c.Holds, "pieces", c.Pieces,
 			"reloads", c.Reloads, "bad reloads", c.BadReloads),
 		slog.Group("sent", "tries", c.Tries, "probes", c.Probes, "watches", c.Watches, "lines", c.Lines),
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
 			"unwanted", c.Unwanted, "moved", c.Pushed),
 		slog.Group("endings", endings...),
+		slog.Group("bad clients", bad...),
 		slog.Group("sockets", "open", c.Open, "standing", c.Standing, "most", c.Most))
 }
+
+// counted are those of the counts that are not 0, under their names.
+func counted[K interface {
+	~uint8
+	String() string
+}](counts []uint64) (all []any) {
+	for k, n := range counts {
+		if n > 0 {
+			all = append(all, slog.Uint64(K(k).String(), n))
+		}
+	}
+	return all
+}
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -1,6 +1,7 @@
 package relay
 
-// This file owns the ways in which a connection can end, each one value, and what each says to the module. It
+// This file owns the ways in which a connection can end, each one value, and what each says to the module;
+// and those in which a client without a link is turned away, of which the module hears nothing. It
 // must never look at a connection or a link: whoever sees the end names it.
 
 import "valeshift/logic"
@@ -55,3 +56,24 @@
 	}
 	return logic.Broken
 }
+
+// Badness is why a client was turned away before it had a link.
+type Badness uint8
+
+// What clients do that have none.
+const (
+	NoHead      Badness = iota // none came in time
+	HalfHead                   // it ended in the middle of one
+	TooLong                    // a line over the bound
+	BadHead                    // no head of the protocol, or a figure out of all bounds
+	UnknownName                // a category or customer that the settings don't name
+	IDInUse                    // the id of a link that is open
+	SaidMore                   // it sent on without waiting for its answer
+	ManyPings                  // it asks whether the relay is there without end
+	PushedOut                  // it had said nothing for longest when descriptors were short
+)
+
+var badNames = [...]string{"no head", "half a head", "too long", "bad head", "unknown name", "id in use",
+	"said more", "many pings", "pushed out"}
+
+func (b Badness) String() string { return badNames[b] }
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -80,13 +80,16 @@
 
 const (
 	dialed     = 1 << 63 // connections from this number on are the relay's own; below, clients'
-	headTime   = 5000.0  // for a client's first line: against slow senders of heads holding sockets
-	pingIdle   = 60000.0 // for the next line of one that pings
+	headTime   = 1500.0  // for a client's head, pings or none: against slow and silent ones holding sockets
+	mostPings  = 16      // before it
+	grace      = 30.0    // left to a client without a head, however many there are
+	silentPart = 8       // one in so many descriptors may be held by those, beyond which the oldest is let go
+	beyond     = 10      // times its category's hard limit, above which a client's wait is nonsense
+	noteGap    = 1000.0  // between two notes of clients turned away: against a flood of them filling the log
 	margin     = 10.0    // taken off a client's wait, so that the answer is there before it gives up
 	tiny       = 1.0     // of waits
 	spareFiles = 32      // descriptors kept for the listener, the polls, the watch and dials
-	headPart   = 16      // one in so many of the rest is kept for clients that can only be told to come again,
-	fewHeads   = 4       // and no fewer than that
+	fewHeads   = 4       // no fewer than so many may have no head yet
 	perLink    = 2
 	resumeTime = 38000.0 // for a link that stood before the start; it is lost two seconds later
 	resumeGap  = 500.0
@@ -120,7 +123,8 @@
 	link    *link
 	backend *backend // that it goes to; nil: a client's
 	up      bool     // a backend's
-	pinged  bool
+	pings   int
+	since   float64 // a client's: when it came
 	in      lines.Splitter
 	wait    timer
 }
@@ -142,8 +146,8 @@
 	stage  stage
 	client *end // nil: the client has gone
 	server *end // of the setup try that is out, or of the link that stands
+	id     string
 	head   lines.Head
-	early  []byte // what the client sent after its head, until the link stands
 	giveUp float64
 	last   Ending // what the backend said of the end to come
 	ending bool   // it said so
@@ -165,6 +169,11 @@
 	most    int // sockets
 	room    int // of those, for links
 	full    bool
+	silent  []*end // clients without a head, in the order they came, and some that are over
+	heads   int    // how many have none
+	ageing  timer  // until the oldest of them may be let go
+	ids     map[string]*link
+	noteAt  float64 // from when clients turned away may be noted again
 	dials   uint64
 
 	categories, parties, zones map[string]int
@@ -173,7 +182,8 @@
 	mayCancel                  bool
 	maxBack, connectTime       float64 // the longest wait a client follows; for a backend to be up
 	mostHeld                   int
-	longest                    float64 // hard limit
+	limits                     []float64 // hard limit, by category
+	longest                    float64   // of them
 
 	backends map[string]*backend
 	byID     map[uint32]*backend
@@ -201,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, most: math.MaxInt, room: math.MaxInt,
+	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, ids: map[string]*link{}, most: math.MaxInt, room: math.MaxInt,
 		dials: dialed, categories: p.Names("categories"), parties: p.Names("parties"),
 		zones: p.Places("localities"), fields: p.Fields(), reports: p.Text("stats.how") == "answers",
 		mayCancel: p.Text("limits.may-cancel") != "false",
@@ -209,12 +219,13 @@
 		source:   t.Discovery,
 		mostHeld: int(p.Optional("limits.most-held", math.MaxInt32)),
 		backends: map[string]*backend{}, byID: map[uint32]*backend{}}
-	for _, i := range r.categories {
-		r.longest = max(r.longest, p.Number("categories."+strconv.Itoa(i)+".hard-limit-ms"))
+	for i := range p.Count("categories.count") {
+		r.limits = append(r.limits, p.Number("categories."+strconv.Itoa(i)+".hard-limit-ms"))
+		r.longest = max(r.longest, r.limits[i])
 	}
 	if t.Sockets > 0 {
 		r.most = t.Sockets - spareFiles
-		r.room = r.most - max(r.most/headPart, fewHeads)
+		r.room = r.most - r.mostSilent()
 		if r.room < perLink {
 			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink, t.Sockets)
 		}
@@ -230,6 +241,7 @@
 	r.watched.fire = r.watchQuiet
 	r.renewing.fire = r.Subscribe
 	r.starting.fire = r.nowReady
+	r.ageing.fire = func() {} // the gate looks anyway
 	r.arm(&r.starting, now+readyTime)
 	return r, nil
 }
@@ -275,13 +287,29 @@
 	return effects
 }
 
-// gate lets clients wait to be accepted while there is no descriptor to tell them to come again. Against
-// breaking those whose head may be on its way: they would count as taken and lost.
+// mostSilent is how many clients without a head may be there: what links can never take.
+func (r *Reducer) mostSilent() int { return max(r.most/silentPart, fewHeads) }
+
+// gate lets go of clients that have said nothing for longest where there are too many, and lets others wait
+// to be accepted meanwhile. Against silent ones taking the descriptors that links need; and against breaking
+// one whose head may be on its way: it is told to come again.
 func (r *Reducer) gate() {
-	if full := len(r.ends) >= r.most; full != r.full {
+	full := false
+	for !full && (r.heads > r.mostSilent() || len(r.ends) >= r.most) {
+		if full = len(r.silent) == 0; full {
+			break
+		}
+		oldest := r.silent[0]
+		if full = r.now < oldest.since+grace; full {
+			r.arm(&r.ageing, oldest.since+grace)
+		} else {
+			r.refuse(oldest.link, PushedOut, r.busy())
+		}
+	}
+	if full != r.full {
 		r.full = full
 		if full {
-			r.note("no descriptors left for clients", "open", len(r.ends))
+			r.Holds++
 			r.do(Effect{Do: Hold})
 		} else {
 			r.do(Effect{Do: Free})
@@ -339,12 +367,23 @@
 func (r *Reducer) opened(conn uint64) {
 	r.Accepted++
 	l := &link{}
-	c := r.add(&end{conn: conn, link: l})
+	c := r.add(&end{conn: conn, link: l, since: r.now})
 	l.client = c
-	c.wait.fire = func() { r.refuse(l, "no head in time") }
+	r.heads++
+	r.silent = append(r.silent, c)
+	c.wait.fire = func() { r.refuse(l, NoHead, errLine) }
 	r.arm(&c.wait, r.now+headTime)
 }
 
+// headed takes that the client has a head now, or is over without one. The first of silent is without.
+func (r *Reducer) headed(l *link, then stage) {
+	l.stage = then
+	r.heads--
+	for len(r.silent) > 0 && r.silent[0].link.stage != heading {
+		r.silent = r.silent[1:]
+	}
+}
+
 func (r *Reducer) connection(c *end, e Event) {
 	if e.Kind == Over {
 		// The socket may still be open on this side, after the other has ended its sending.
@@ -376,16 +415,19 @@
 	for l.stage == heading {
 		line, rest, err := l.client.in.Next(data)
 		if err != nil {
-			r.refuse(l, err.Error())
+			r.refuse(l, TooLong, errLine)
 			return
 		}
 		if line == nil {
 			return
 		}
 		data = rest
-		if string(lines.Bare(line)) == "PING" {
-			r.ping(l.client)
-		} else {
+		switch {
+		case string(lines.Bare(line)) == "PING":
+			r.ping(l)
+		case len(data) > 0: // a client waits after its head: this one is none, and no backend sees any of it
+			r.refuse(l, SaidMore, errLine)
+		default:
 			r.begin(l, line)
 		}
 	}
@@ -393,19 +435,22 @@
 	case len(data) == 0 || l.stage == done:
 	case l.stage == standing:
 		r.toServer(l, data)
-	case len(l.early)+len(data) > lines.Longest:
-		c := l.client // against a client that sends on without an answer filling the memory
-		r.clientOver(l, Event{Broken: true})
-		r.forget(c, Break)
 	default:
-		l.early = append(l.early, data...)
+		r.BadClients[SaidMore]++
+		c := l.client
+		r.write(c, errLine)
+		r.clientOver(l, Event{})
+		r.forget(c, End)
 	}
 }
 
-func (r *Reducer) ping(c *end) {
+func (r *Reducer) ping(l *link) {
+	c := l.client
+	if c.pings++; c.pings > mostPings {
+		r.refuse(l, ManyPings, errLine)
+		return
+	}
 	r.Pings++
-	c.pinged = true
-	r.arm(&c.wait, r.now+pingIdle)
 	switch {
 	case r.stopping:
 		r.write(c, []byte("ERR\r\n"))
@@ -422,50 +467,76 @@
 	r.ready = true
 	r.disarm(&r.starting)
 	for _, c := range r.clients() {
-		if c.pinged && c.link.stage == heading {
-			r.write(c, []byte("PONG\r\n"))
+		if c.link.stage == heading {
+			for range c.pings {
+				r.write(c, []byte("PONG\r\n"))
+			}
 		}
 	}
 }
 
 // refuse answers a client that has no link.
-func (r *Reducer) refuse(l *link, why string) {
-	r.BadHeads++
-	r.note("bad head", "why", why)
-	l.stage = done
-	r.write(l.client, []byte("ERR\r\n"))
+func (r *Reducer) refuse(l *link, why Badness, text []byte) {
+	r.BadClients[why]++
+	if r.now >= r.noteAt {
+		r.noteAt = r.now + noteGap
+		r.note("client turned away", "why", why.String(), "so many", r.BadClients[why])
+	}
+	r.headed(l, done)
+	r.write(l.client, text)
 	r.forget(l.client, End)
 }
 
-// begin takes a link in. The head is copied whole, as read buffers are used again, and read in that copy.
+var errLine = []byte("ERR\r\n")
+
+// busy has a client come again later, where it may be told when.
+func (r *Reducer) busy() []byte { return busyLine(r.maxBack) }
+
+func busyLine(wait float64) []byte {
+	if wait > 0 {
+		return []byte("BUSY " + strconv.FormatInt(int64(wait), 10) + "\r\n")
+	}
+	return []byte("BUSY\r\n")
+}
+
+// begin takes a link in, once its head has been judged whole: against work and wrong blame at a backend that
+// closes on what it can't use. It is copied, as read buffers are used again, and read in that copy.
 func (r *Reducer) begin(l *link, line []byte) {
 	head, err := lines.ReadHead(append([]byte(nil), line...))
 	if err != nil {
-		r.refuse(l, err.Error())
+		r.refuse(l, BadHead, errLine)
 		return
 	}
 	category, known := r.categories[string(head.Category)]
-	if !known {
-		r.refuse(l, "unknown category")
+	party, named := r.parties[string(head.Party)]
+	switch {
+	case !known || (!named && len(head.Party) > 0 && len(r.parties) > 0):
+		r.refuse(l, UnknownName, errLine)
+		return
+	case len(head.At) == 0 && head.Wait > beyond*r.limits[category]:
+		r.refuse(l, BadHead, errLine)
+		return
+	case r.ids[string(head.ID)] != nil:
+		r.refuse(l, IDInUse, errLine)
 		return
 	}
 	l.head = head
 	l.Category, l.Key, l.Group = category, head.Key, head.Group
 	l.Hint = head.Hint * 1000
-	l.Limit = r.now + max(head.Wait-margin, tiny)
-	if party, known := r.parties[string(head.Party)]; known {
-		l.Party = party
-	} else {
+	l.Limit = r.now + max(min(head.Wait, r.limits[category])-margin, tiny)
+	if l.Party = party; !named {
 		l.Party = len(r.parties) // one without a share
 	}
-	r.disarm(&l.client.wait)
 	r.Heads++
 	r.links++
-	l.stage = placing
+	l.id = string(head.ID)
+	r.ids[l.id] = l
+	r.disarm(&l.client.wait)
+	r.headed(l, placing)
 	switch {
 	case len(head.At) > 0:
 		r.resume(l)
-	case len(r.ends)+1 > r.room || r.links > r.mostHeld:
+	case len(r.ends)-r.heads+1 > r.room || r.links > r.mostHeld:
 		// Against running out of descriptors in mid-flow: nothing was sent, so trying again is harmless.
 		r.Carry(l, logic.Answer{Verdict: logic.Reject, Wait: r.maxBack})
 	default:
@@ -480,14 +551,10 @@
 		r.try(l, r.byID[a.Backend], a.Timeout)
 	case logic.Reject:
 		r.Rejected++
-		if a.Wait > 0 {
-			r.answer(l, []byte("BUSY "+strconv.FormatInt(int64(a.Wait), 10)+"\r\n"))
-		} else {
-			r.answer(l, []byte("BUSY\r\n"))
-		}
+		r.answer(l, busyLine(a.Wait))
 	case logic.Fail:
 		r.Errored++
-		r.answer(l, []byte("ERR\r\n"))
+		r.answer(l, errLine)
 	}
 }
 
@@ -503,6 +570,7 @@
 func (r *Reducer) leaveHand(l *link) {
 	if l.stage != done && l.stage != heading {
 		r.links--
+		delete(r.ids, l.id)
 	}
 	l.stage = done
 	r.table.Drop(l)
@@ -610,10 +678,10 @@
 	l.client = nil
 	switch l.stage {
 	case heading:
-		l.stage = done
 		if c.in.Partial() {
-			r.BadHeads++
+			r.BadClients[HalfHead]++
 		}
+		r.headed(l, done)
 	case placing:
 		r.Unwanted++
 		r.table.Balancer.Vanished(&l.Link.Link)
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -369,6 +369,7 @@
 		c.closing.Store(true)
 		if c.unsent.Load() == 0 {
 			delete(s.open, conn)
+			c.discard()
 			c.nb.Close()
 		} else { // against one that never takes the rest holding its descriptor for ever
 			c.nb.SetWriteDeadline(time.Now().Add(restWait))
@@ -376,6 +377,17 @@
 	}
 }
 
+// discard drops what the peer has sent, up to a bound. Against a close with input unread: it resets the
+// connection, and a reset may overtake the last answer.
+func (c *socket) discard() {
+	var piece [4 << 10]byte
+	for range readPiece / len(piece) {
+		if n, err := c.nb.Read(piece[:]); n <= 0 || err != nil {
+			return
+		}
+	}
+}
+
 // nbioLog passes on what nbio logs, less its chatter.
 type nbioLog struct{ log *slog.Logger }
 
