The only relay that stops keeps its links until the end of its stop

Now it gives all the time a stop has (3.4 s), 0.3 s before the kill can come; late comers likewise. Several relays stop as before. Tests: a table on the reducer, and the module's.

--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -381,6 +381,17 @@
 func TestPlannedStop(t *testing.T) {
 	s := open(t, nil, 0, "b1=active")
 	s.stands()
+	// Against links that stand nowhere from then until the only relay is back.
+	s.play("the only relay serves to the end of its stop", step{1000, "stop", ""}, step{1100, "open 2", ""},
+		step{1100, "came 2 OPEN b 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
+		step{1101, "up s2", "write s2 OPEN b 1f c=feed,d=1989|"}, step{1102, "came s2 UP r|", "write 2 UP r|"},
+		step{3399, "came 1 x|", "write s1 x|"},
+		step{3400, "tick", "write 1 MOVE|; end 1; end s1; write 2 MOVE|; end 2; end s2; quit"})
+	s = open(t, func(text string) string {
+		return strings.Replace(text, `"replicas-of-me": 1`, `"replicas-of-me": 2`, 1)
+	},
+		0, "b1=active")
+	s.stands()
 	s.play("stop", step{1000, "stop", ""},
 		step{1000, "open 2", ""}, step{1001, "came 2 PING|", "write 2 ERR|"},
 		step{1100, "open 3", ""}, step{1100, "came 3 OPEN b 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -73,7 +73,7 @@
 	r.arm(&l.client.wait, r.now+idleClient)
 	l.head = lines.Head{}
 	if r.stopping {
-		r.arm(&l.leave, max(r.now, r.stopAt+lastComers))
+		r.arm(&l.leave, max(r.now, r.leaveAt(0, 1)))
 	} else if c.backend.condition != logic.Ready {
 		r.arm(&l.leave, r.now)
 	}
@@ -178,14 +178,21 @@
 			all = append(all, c.link)
 		}
 	}
-	wait := min(r.longest, stopWait)
 	for i, l := range all {
-		r.arm(&l.leave, r.now+lastComers+r.table.Balancer.Leave(i, len(all), wait-lastComers))
+		r.arm(&l.leave, r.leaveAt(i, len(all)))
 	}
 	look := timer{fire: func() {}}
 	r.arm(&look, r.now+lastComers) // a look at whether all is done
 	r.final.fire = r.stopNow
-	r.arm(&r.final, r.now+wait+lastWord)
+	r.arm(&r.final, r.now+r.stopTime())
+}
+
+// stopTime is how long a stop takes at the most.
+func (r *Reducer) stopTime() float64 { return min(r.longest, stopWait) + lastWord }
+
+// leaveAt is when the nth of so many standing links is moved at a stop.
+func (r *Reducer) leaveAt(nth, of int) float64 {
+	return r.stopAt + lastComers + r.table.Balancer.Leave(nth, of, r.stopTime()-lastComers)
 }
 
 // stopNow answers and moves whatever is left.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -549,7 +549,7 @@
 // or as a server goes (0). Against a fleet placed anew by one late report: they come again at once.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
 	if within > 0 && b.shares.relays < 2 {
-		return 0 // nobody else takes them: those told first would only wait longer for the relay's return
+		return within // nobody else takes them: told sooner, they would only wait longer for the relay's return
 	}
 	return min(cmp.Or(within, leaveOver), leaveOver) * float64(nth) / float64(of)
 }
