Links of a backend that answers neither probes nor lines are moved after a second

At fault: silence was met only by each link's own six seconds. Now the module says when a server is lost: out by its probes, nothing from any of its links for a second, and a line that waits as long; its links get MOVE. One that only tires of probes keeps its links. Test: a table on the reducer with both cases.

--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -23,6 +23,7 @@
 	id        uint32
 	condition logic.Condition
 	links     []*link // that stand
+	heard     float64 // when one of them last brought anything
 	probe     *end
 	asking    bool // a probe is out
 }
@@ -247,6 +248,7 @@
 	r.forget(c, Break)
 	if out {
 		r.table.Probed(r.now, b.id, false, nil)
+		r.silent(b)
 	}
 }
 
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -83,7 +83,7 @@
 	headTime   = 1500.0  // for a client's head, pings or none: against slow and silent ones holding sockets
 	mostPings  = 16      // before it
 	grace      = 30.0    // left to a client without a head, however many there are
-	silentPart = 8       // one in so many descriptors may be held by those, beyond which the oldest is let go
+	mutePart   = 8       // one in so many descriptors may be held by those, beyond which the oldest is let go
 	beyond     = 10      // times its category's hard limit, above which a client's wait is nonsense
 	noteGap    = 1000.0  // between two notes of clients turned away: against a flood of them filling the log
 	margin     = 10.0    // taken off a client's wait, so that the answer is there before it gives up
@@ -169,7 +169,7 @@
 	most    int // sockets
 	room    int // of those, for links
 	full    bool
-	silent  []*end // clients without a head, in the order they came, and some that are over
+	mute    []*end // clients without a head, in the order they came, and some that are over
 	heads   int    // how many have none
 	ageing  timer  // until the oldest of them may be let go
 	ids     map[string]*link
@@ -225,7 +225,7 @@
 	}
 	if t.Sockets > 0 {
 		r.most = t.Sockets - spareFiles
-		r.room = r.most - r.mostSilent()
+		r.room = r.most - r.mostMute()
 		if r.room < perLink {
 			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink, t.Sockets)
 		}
@@ -287,19 +287,19 @@
 	return effects
 }
 
-// mostSilent is how many clients without a head may be there: what links can never take.
-func (r *Reducer) mostSilent() int { return max(r.most/silentPart, fewHeads) }
+// mostMute is how many clients without a head may be there: what links can never take.
+func (r *Reducer) mostMute() int { return max(r.most/mutePart, fewHeads) }
 
 // gate lets go of clients that have said nothing for longest where there are too many, and lets others wait
 // to be accepted meanwhile. Against silent ones taking the descriptors that links need; and against breaking
 // one whose head may be on its way: it is told to come again.
 func (r *Reducer) gate() {
 	full := false
-	for !full && (r.heads > r.mostSilent() || len(r.ends) >= r.most) {
-		if full = len(r.silent) == 0; full {
+	for !full && (r.heads > r.mostMute() || len(r.ends) >= r.most) {
+		if full = len(r.mute) == 0; full {
 			break
 		}
-		oldest := r.silent[0]
+		oldest := r.mute[0]
 		if full = r.now < oldest.since+grace; full {
 			r.arm(&r.ageing, oldest.since+grace)
 		} else {
@@ -370,17 +370,17 @@
 	c := r.add(&end{conn: conn, link: l, since: r.now})
 	l.client = c
 	r.heads++
-	r.silent = append(r.silent, c)
+	r.mute = append(r.mute, c)
 	c.wait.fire = func() { r.refuse(l, NoHead, errLine) }
 	r.arm(&c.wait, r.now+headTime)
 }
 
-// headed takes that the client has a head now, or is over without one. The first of silent is without.
+// headed takes that the client has a head now, or is over without one. The first of mute is without.
 func (r *Reducer) headed(l *link, then stage) {
 	l.stage = then
 	r.heads--
-	for len(r.silent) > 0 && r.silent[0].link.stage != heading {
-		r.silent = r.silent[1:]
+	for len(r.mute) > 0 && r.mute[0].link.stage != heading {
+		r.mute = r.mute[1:]
 	}
 }
 
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -344,6 +344,29 @@
 	}
 }
 
+// Against links that stay seconds long at a backend whose machine has vanished; but one that only tires of
+// probes keeps its links.
+func TestSilentBackend(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		want         bool
+	}{{"says nothing at all", "tick", true}, {"still answers lines", "came s1 b|", false}} {
+		s := open(t, func(text string) string { return strings.Replace(text, `"probes": false`, `"probes": true`, 1) },
+			0, "b1=active")
+		s.stands()
+		for _, event := range []string{"up s2", "came s2 PONG x0=0.1|"} {
+			s.at(400, event)
+		}
+		s.at(900, "came 1 a|")
+		s.at(950, c.answer)
+		for now := 1000.0; now < 3000; now += 50 {
+			s.at(now, "tick")
+		}
+		assert.Equal(t, c.want, s.Endings[FellSilent] == 1, c.name)
+		assert.Equal(t, !c.want, s.Standing == 1, c.name)
+	}
+}
+
 func TestClientsOfALeavingBackendAreToldOneByOne(t *testing.T) {
 	s := open(t, nil, 0, "b1=active")
 	s.stands()
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -90,6 +90,7 @@
 
 // fromServer passes whole lines on, so that a line of the relay's own always falls between two of them.
 func (r *Reducer) fromServer(l *link, data []byte) {
+	l.server.backend.heard = r.now
 	for len(data) > 0 && l.stage == standing && !l.ending {
 		line, rest, err := l.server.in.Next(data)
 		if err != nil {
@@ -154,6 +155,24 @@
 	r.table.After(r.now, l, how.outcome(), true)
 }
 
+// silent has the clients of a backend that answers neither probes nor lines come again elsewhere, where the
+// module holds it to be lost. A line that waits for its answer must show it: a backend may tire of probes.
+func (r *Reducer) silent(b *backend) {
+	quiet := 0.0
+	for _, l := range b.links {
+		if l.quiet.place > 0 && !l.ending {
+			quiet = max(quiet, r.now-l.quiet.at+silence)
+		}
+	}
+	if !r.table.Balancer.Lost(b.id, min(quiet, r.now-b.heard)) {
+		return
+	}
+	r.note("backend fell silent", "backend", b.Name, "links", len(b.links))
+	for _, l := range slices.Clone(b.links) {
+		r.move(l, FellSilent)
+	}
+}
+
 // move has the client come again elsewhere. One that its backend has said the last word to is only ended.
 func (r *Reducer) move(l *link, why Ending) {
 	if l.ending {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -2,9 +2,9 @@
 // probed load. A link that stands keeps its server for life. Callers use it like a client library, one
 // Balancer a relay, never shared. Three calls answer: Place (where to send this link, or not yet, or never),
 // After (what to do after this outcome) and Next (how long to wait, and the probe or subscription due; asked
-// until it names none). Leave paces links that must go. What is seen comes in by ListBegan, Listed,
-// ListEnded, ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished. Plain types and their
-// bookkeeping are in types.go; the interface is Balancer's methods. Times are milliseconds, on one clock.
+// until it names none). Leave paces links that must go, Lost tells of a silent server. What is seen comes in
+// by ListBegan, Listed, ListEnded, ListFailed, Probed, Reported, Accepted, Weighed, Resumed and Vanished.
+// Plain types and their bookkeeping are in types.go. Times are milliseconds, on one clock.
 package logic
 
 import (
@@ -53,6 +53,7 @@
 	shedSoon   = 5000.0   // a link that breaks within this was shed by a server too full for it
 	shedPart   = 1.0 / 16 // of the set-ups out at once, then
 	timely     = 0.5      // of the promised time, within which a set-up shows that no store is overrun
+	silentFor  = 1000.0   // after which one that doesn't answer probes either is lost, with its links
 	leaveOver  = 1500.0   // over which links are told that must go
 	askPart    = 0.8      // of the time after which silence counts as told
 	askRelay   = 1000.0   // between two relays' asking of the list anew
@@ -166,13 +167,6 @@
 	return Answer{Verdict: Fail}
 }
 
-func (s *Shares) weigh(c int, load float64) {
-	s.weighed[c] = min(s.weighed[c]+1, 50)
-	s.loads[c] += (load - s.loads[c]) / s.weighed[c]
-	s.known = min(s.known+1, 200)
-	s.loadMean += (load - s.loadMean) / s.known
-}
-
 // expected is the load of a link not yet measured: its category's, drawn to the mean while few are known.
 func (s *Shares) expected(c int) float64 {
 	return (s.loads[c]*s.weighed[c] + s.loadMean*2) / (s.weighed[c] + 2)
@@ -543,6 +537,13 @@
 	b.turns.stale = true
 }
 
+// Lost tells whether a server whose links have brought nothing back for that long is gone without a word.
+// Against links that earn nothing there until it is back or the list has left it out, many seconds on.
+func (b *Balancer) Lost(id uint32, quiet float64) bool {
+	s, known := b.index[id]
+	return known && quiet >= silentFor && !b.health.good(s)
+}
+
 // Leave says how long the nth of so many links that must go is left where it is: within what a stop leaves,
 // or as a server goes (0). Against a fleet placed anew by one late report: they come again at once.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
--- a/logic/types.go
+++ b/logic/types.go
@@ -283,6 +283,14 @@
 	ended    memory
 }
 
+// weigh takes the load of a link of that category into the means.
+func (s *Shares) weigh(c int, load float64) {
+	s.weighed[c] = min(s.weighed[c]+1, 50)
+	s.loads[c] += (load - s.loads[c]) / s.weighed[c]
+	s.known = min(s.known+1, 200)
+	s.loadMean += (load - s.loadMean) / s.known
+}
+
 // NewShares takes categories, the parties' quotas of open links, what gain beyond a share is worth, and the
 // number of relays.
 func NewShares(categories []Category, quotas []float64, beyond float64, relays int) *Shares {
