At a stop clients are told over the last second and a half of it

At fault: Leave paced links from the start of what a stop has. Ruled out: the return of the first (0.3 s after its start) and placing there (one error in 39 tries). Now the pace ends with the stop. Tests: the reducer's table of a stop with two relays, and the module's.

--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -421,8 +421,8 @@
 		step{1101, "up s2", "write s2 OPEN b 1f c=feed,d=1989|"},
 		step{1102, "open 4", ""}, step{1102, "came 4 OPEN c 1f c=feed,d=9000|", "dial s3 10.0.0.1:9000"},
 		step{1103, "up s3", "write s3 OPEN c 1f c=feed,d=1989|"},
-		step{1500, "tick", "write 1 MOVE|; end 1; end s1"},
-		step{1600, "came s2 UP r|", "write 3 UP r|; write 3 MOVE|; end 3; end s2"})
+		step{1899, "tick", ""}, step{1900, "tick", "write 1 MOVE|; end 1; end s1"},
+		step{2000, "came s2 UP r|", "write 3 UP r|; write 3 MOVE|; end 3; end s2"})
 	last := s.at(1000+2000+lastWord, "tick")
 	assert.Contains(t, last, "end s3; write 4 BUSY 900|; end 4")
 	assert.True(t, strings.HasSuffix(last, "quit"), last)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -478,8 +478,6 @@
 	return b.Place(now, l)
 }
 
-func (b *Balancer) doubt(s int) { b.health.failed[s]++; b.turns.expire() }
-
 func (b *Balancer) stood(now float64, l *Link) {
 	e := b.effects
 	fade := math.Exp((e.asOf - now) / tryMemory)
@@ -544,13 +542,15 @@
 	return known && quiet >= silentFor && !b.health.good(s)
 }
 
-// Leave says how long the nth of so many links that must go is left where it is: within what a stop leaves,
-// or as a server goes (0). Against a fleet placed anew by one late report: they come again at once.
+// Leave says how long the nth of so many links that must go is left where it is: to the end of what a stop
+// leaves, as a relay stopped before may not be back yet, or as a server goes (0). Paced against a fleet placed
+// anew by one late report: they come again at once.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
+	over := min(cmp.Or(within, leaveOver), leaveOver)
 	if within > 0 && b.shares.relays < 2 {
-		return within // nobody else takes them: told sooner, they would only wait longer for the relay's return
+		return within // nobody else takes them
 	}
-	return min(cmp.Or(within, leaveOver), leaveOver) * float64(nth) / float64(of)
+	return max(within-over, 0) + over*float64(nth)/float64(of)
 }
 
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -583,7 +583,7 @@
 		want    float64
 	}{
 		{0, 1, 0, 0}, {0, 30, 0, 0}, {15, 30, 0, leaveOver / 2}, {29, 30, 0, leaveOver * 29 / 30},
-		{5, 10, 400, 200}, {5, 10, 1e6, leaveOver / 2},
+		{5, 10, 400, 200}, {5, 10, 4000, 4000 - leaveOver/2},
 	} {
 		assert.InDelta(t, c.want, b.Leave(c.nth, c.of, c.within), 1e-9, "%v", c)
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -383,6 +383,9 @@
 	}
 }
 
+// doubt counts a failure of the server.
+func (b *Balancer) doubt(s int) { b.health.failed[s]++; b.turns.expire() }
+
 // forget drops the server's figures.
 func (b *Balancer) forget(s int) {
 	p := b.probing
