A gone backend with a try out is not forgotten; beliefs can be asked for

Seen by checking the module's books against the sockets after every event of the random table (300 orders): in one, a backend left the list while a setup try was out and came back under its name; the relay kept two records of it, the module booked one link that the new record did not have. At fault: apply forgot a backend gone without standing links, whatever tries were out; its link would then stand on a record that no later drain reaches. Ruled out: the module's books (they were right). Now one is forgotten only when nothing is booked on it. SIGUSR1 and the exit print a line for each backend: links standing, tries, links booked, age of the report, left out or not.

--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -4,7 +4,9 @@
 // probes. It must never decide which backend is used or when one is asked: that is the module's.
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 
 	"valeshift/internal/lines"
 	"valeshift/logic"
@@ -28,6 +30,32 @@
 	asking    bool // a probe is out
 }
 
+// Belief is what is held of one backend: what passes on the sockets, and what the module goes by.
+type Belief struct {
+	Name             string
+	Standing, Trying int // links on sockets
+	Booked           int // by the module; the same as both together
+	ReportAge        float64
+	Out              bool
+}
+
+// Beliefs are those of all backends, by name. Against a module that goes by what is no longer so: they can be
+// asked for while the relay serves.
+func (r *Reducer) Beliefs(now float64) []Belief {
+	var all []Belief
+	for _, b := range r.backends {
+		links, heard, out := r.table.Balancer.View(b.id)
+		all = append(all, Belief{Name: b.Name, Standing: len(b.links), Booked: links, ReportAge: now - heard, Out: out})
+		for _, c := range r.ends {
+			if c.backend == b && c.link != nil && c.link.stage == trying {
+				all[len(all)-1].Trying++
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b Belief) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
 // named finds the backend, or takes in a new one. Its number comes of its name, so that all relays draw
 // alike.
 func (r *Reducer) named(name string) *backend {
@@ -96,8 +124,9 @@
 		if b.condition == logic.Gone && b.probe != nil {
 			r.probeOver(b)
 		}
-		if b.condition == logic.Gone && len(b.links) == 0 {
-			// Against a fleet whose names never come again filling the memory. The module gives no gone one.
+		if booked, _, _ := r.table.Balancer.View(b.id); b.condition == logic.Gone && booked == 0 {
+			// Against a fleet whose names never come again filling the memory. One with a try out stays: under
+			// the same name it may come again, and its links would be on a backend that nothing tells of.
 			delete(r.backends, name)
 			delete(r.byID, b.id)
 		}
--- a/internal/relay/random_test.go
+++ b/internal/relay/random_test.go
@@ -62,6 +62,9 @@
 					}
 				}
 			}
+			for _, b := range s.Beliefs(now) {
+				require.Equal(t, b.Standing+b.Trying, b.Booked, "seed %d: links on %s", seed, b.Name)
+			}
 			tries := map[*link]int{}
 			for _, c := range s.ends {
 				if c.backend != nil && c.link != nil {
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -491,6 +491,10 @@
 	assert.Equal(t, []uint64{2, 1}, []uint64{s.Reloads, s.BadReloads})
 	assert.Equal(t, 1, s.Standing)
 	s = open(t, nil, 0, "b1=active")
+	s.play("while the former watch is failing", step{1, "failed 1", ""},
+		step{2, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"}, step{3, "heard 2", ""},
+		step{3000, "heard 2", ""}, step{3001, "news 2 1 whole b1=active", ""}, step{6500, "heard 2", ""})
+	s = open(t, nil, 0, "b1=active")
 	s.play("many in a row, one in a stop", step{1, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"},
 		step{2, "reload 10.1.0.3:85", "watch 3 after 0 at 10.1.0.3:85"}, step{3, "failed 2", ""}, step{4, "stop", ""},
 		step{5, "reload 10.1.0.1:85", "watch 4 after 0"}, step{6, "news 4 1 delta b1=leaving", ""},
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -125,9 +126,13 @@
 
 func (s *Sockets) counters(why string) {
 	s.mutex.Lock()
-	c := s.reducer.Counters
+	c, beliefs := s.reducer.Counters, s.reducer.Beliefs(s.now())
 	s.mutex.Unlock()
 	c.Log(s.log, why)
+	for _, b := range beliefs {
+		s.log.Info("backend", "name", b.Name, "standing", b.Standing, "trying", b.Trying, "booked", b.Booked,
+			"report age ms", math.Round(b.ReportAge), "out", b.Out)
+	}
 }
 
 // drain waits for what was written last to be taken.
--- a/logic/types.go
+++ b/logic/types.go
@@ -464,6 +464,16 @@
 	return l, ok
 }
 
+// View tells what the balancer believes of a server: links booked on it, when it last reported (-Inf: never),
+// and whether it is left out.
+func (b *Balancer) View(id uint32) (links int, heard float64, out bool) {
+	s, known := b.index[id]
+	if !known {
+		return 0, math.Inf(-1), true
+	}
+	return b.links[s], b.probing.heardAt[s], b.condition[s] != Ready || !b.health.good(s)
+}
+
 // Knows tells whether the settings name the category.
 func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
 
