What floods in behind the end of a connection is dropped up to a bound, then cut off

At fault: read, which asked nothing of closing. Now such input goes nowhere, and after 64 KiB the connection is broken. Test: a flood behind an end on a real socket.

--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -41,6 +41,7 @@
 	nb      *nbio.Conn
 	unsent  atomic.Int64 // bytes written to nbio that the kernel has not taken
 	closing atomic.Bool  // once that is none
+	dropped int          // bytes that came since, and went nowhere
 }
 
 // Sockets runs one relay.
@@ -270,13 +271,19 @@
 // read takes in what there is, to the end or the reset behind it.
 func (s *Sockets) read(nb *nbio.Conn, buffer []byte) {
 	s.mutex.Lock() // the one it was handed over under, as nbio orders nothing between its goroutines
-	conn := nb.Session().(*socket).conn
+	c := nb.Session().(*socket)
 	s.mutex.Unlock()
 	for {
 		n, err := nb.Read(buffer)
 		switch {
+		case n > 0 && c.closing.Load():
+			// Against one that sends at full speed, and takes nothing in, costing core until its time is over.
+			if c.dropped += n; c.dropped > mostUnread {
+				nb.Close()
+				return
+			}
 		case n > 0:
-			s.take(Event{Kind: Came, Conn: conn, Data: buffer[:n]})
+			s.take(Event{Kind: Came, Conn: c.conn, Data: buffer[:n]})
 		case err == nil:
 			nb.CloseWithError(io.EOF)
 			return
--- a/internal/relay/sockets_test.go
+++ b/internal/relay/sockets_test.go
@@ -5,16 +5,18 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
-// Against nbio's Writev, which loses whatever follows the first piece that the kernel did not take whole.
-func TestGatheredWritesKeepEverything(t *testing.T) {
+// narrow is Sockets without a relay, and a way to connect them to a peer that takes little in unless it reads.
+func narrow(t *testing.T) (s *Sockets, connect func() (*socket, net.Conn)) {
 	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF,
@@ -23,13 +25,17 @@
 	}}
 	listener, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer listener.Close()
-	s := &Sockets{open: map[uint64]*socket{}}
+	s = &Sockets{open: map[uint64]*socket{}}
 	s.engine = nbio.NewEngine(nbio.Config{NPoller: 1, MaxWriteBufferSize: mostUnread})
 	s.engine.OnWrittenSize(s.written)
+	buffer := make([]byte, readPiece)
+	s.engine.OnRead(func(c *nbio.Conn) { s.read(c, buffer) })
 	require.NoError(t, s.engine.Start())
-	defer s.engine.Stop()
-	for _, c := range []struct{ pieces, size int }{{1, 60000}, {3, 20000}, {40, 1500}, {15, 4000}} {
+	t.Cleanup(func() {
+		listener.Close()
+		s.engine.Stop()
+	})
+	return s, func() (*socket, net.Conn) {
 		out, err := net.Dial("tcp", listener.Addr().String())
 		require.NoError(t, err)
 		in, err := listener.Accept()
@@ -42,7 +48,15 @@
 		s.open[1] = k
 		_, err = s.engine.AddConn(nb)
 		require.NoError(t, err)
+		return k, in
+	}
+}
 
+// Against nbio's Writev, which loses whatever follows the first piece that the kernel did not take whole.
+func TestGatheredWritesKeepEverything(t *testing.T) {
+	s, connect := narrow(t)
+	for _, c := range []struct{ pieces, size int }{{1, 60000}, {3, 20000}, {40, 1500}, {15, 4000}} {
+		k, in := connect()
 		var parts [][]byte
 		var want []byte
 		for i := range c.pieces {
@@ -58,3 +72,18 @@
 		assert.Zero(t, k.unsent.Load())
 	}
 }
+
+// Against a flood that is read on and on once its connection is ended, as its peer doesn't take the last words.
+func TestFloodBehindTheEndIsCutOff(t *testing.T) {
+	s, connect := narrow(t)
+	k, in := connect()
+	s.write(1, [][]byte{make([]byte, 60000)})
+	s.end(1, End)
+	require.Positive(t, k.unsent.Load())
+	in.SetWriteDeadline(time.Now().Add(restWait / 2))
+	sent, err := 0, error(nil)
+	for n := 0; err == nil; sent += n {
+		n, err = in.Write(make([]byte, readPiece))
+	}
+	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%d bytes were taken", sent)
+}
