--- a/internal/lines/lines_test.go
+++ b/internal/lines/lines_test.go
@@ -83,8 +83,10 @@
 		"OPEN a b c=x,=1,d=1\r\n",
 		"OPEN a b d=1\r\n", "OPEN a b c=x\r\n", "OPEN a b c=x,c=x,d=1\r\n", "OPEN a b c=x,d=1e99\r\n",
 		"OPEN a b c=x,d=Inf\r\n",
-		"OPEN a b c=x,d=-0.1\r\n", "OPEN a\tz b c=x,d=1\r\n", "OPEN a b c=x,d=1\r\r\n", "OPEN a b c=x,d=1,t=\xff\r\n",
-		"OPEN " + strings.Repeat("a", 65) + " b c=x,d=1\r\n", "OPEN a " + strings.Repeat("b", 65) + " c=x,d=1\r\n", "OPEN a b c=x,d=1,h=no\r\n", "OPEN a b c=x,d=1\n"} {
+		"OPEN a b c=x,d=-0.1\r\n", "OPEN a\tz b c=x,d=1\r\n", "OPEN a b c=x,d=1\r\r\n",
+		"OPEN a b c=x,d=1,t=\xff\r\n",
+		"OPEN " + strings.Repeat("a", 65) + " b c=x,d=1\r\n", "OPEN a " + strings.Repeat("b", 65) + " c=x,d=1\r\n",
+		"OPEN a b c=x,d=1,h=no\r\n", "OPEN a b c=x,d=1\n"} {
 		_, err := ReadHead([]byte(line))
 		assert.Error(t, err, "%q", line)
 	}
@@ -92,7 +94,8 @@
 
 // Whatever comes, a head that is taken goes on as it came but for the wait, and is one line.
 func FuzzHead(f *testing.F) {
-	for _, line := range []string{"OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c\r\n", "OPEN a b c=x,d=1e3,h=2\r\nOPEN a b c=x,d=1\r\n",
+	for _, line := range []string{"OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c\r\n",
+		"OPEN a b c=x,d=1e3,h=2\r\nOPEN a b c=x,d=1\r\n",
 		"OPEN a b at=s,c=x\r\n", "OPEN a b c=,d=,=\r\n", "\x00\r\n", "OPEN  \n"} {
 		f.Add([]byte(line))
 	}
@@ -113,7 +116,8 @@
 			require.Equal(t, 1, bytes.Count(out, []byte("\n")))
 			again, err := ReadHead(out)
 			require.NoError(t, err, "%q", out)
-			require.Equal(t, [][]byte{h.ID, h.Category, h.Party, h.At}, [][]byte{again.ID, again.Category, again.Party, again.At})
+			require.Equal(t, [][]byte{h.ID, h.Category, h.Party, h.At},
+				[][]byte{again.ID, again.Category, again.Party, again.At})
 		}
 	})
 }
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -45,7 +45,8 @@
 	var all []Belief
 	for _, b := range r.backends {
 		links, heard, out := r.table.Balancer.View(b.id)
-		all = append(all, Belief{Name: b.Name, Standing: len(b.links), Booked: links, ReportAge: now - heard, Out: out})
+		all = append(all, Belief{Name: b.Name, Standing: len(b.links), Booked: links, Out: out,
+			ReportAge: now - heard})
 		for _, c := range r.ends {
 			if c.backend == b && c.link != nil && c.link.stage == trying {
 				all[len(all)-1].Trying++
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -84,7 +84,8 @@
 		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
 }
 
-// watch opens a watch at the address in place of the one before, whose events are known by their number and dropped.
+// watch opens a watch at the address in place of the one before, whose events are known by their number and
+// dropped.
 func (d *discovery) watch(address string, number, after uint64) {
 	d.stop()
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -211,7 +211,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, ids: map[string]*link{}, most: math.MaxInt, room: math.MaxInt,
+	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, ids: map[string]*link{},
+		most: math.MaxInt, room: math.MaxInt,
 		dials: dialed, categories: p.Names("categories"), parties: p.Names("parties"),
 		zones: p.Places("localities"), fields: p.Fields(), reports: p.Text("stats.how") == "answers",
 		mayCancel: p.Text("limits.may-cancel") != "false",
@@ -227,7 +228,8 @@
 		r.most = t.Sockets - spareFiles
 		r.room = r.most - r.mostMute()
 		if r.room < perLink {
-			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink, t.Sockets)
+			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink,
+				t.Sockets)
 		}
 	}
 	if err := p.Err(); err != nil {
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -250,7 +250,8 @@
 		{"over-long without an end", strings.Repeat("a", 4096), "write 1 ERR|; end 1"},
 		{"a wait beyond all bounds", "OPEN a 1f c=feed,d=20001|", "write 1 ERR|; end 1"},
 		{"unknown customer", "OPEN a 1f c=feed,t=nobody,d=2000|", "write 1 ERR|; end 1"},
-		{"more in the same bytes", "OPEN a 1f c=feed,t=one,d=2000|OPEN b 1f c=feed,t=one,d=2000|", "write 1 ERR|; end 1"},
+		{"more in the same bytes", "OPEN a 1f c=feed,t=one,d=2000|OPEN b 1f c=feed,t=one,d=2000|",
+			"write 1 ERR|; end 1"},
 		{"half of more", "OPEN a 1f c=feed,t=one,d=2000|x", "write 1 ERR|; end 1"},
 		{"pings without end", strings.Repeat("PING|", mostPings+1), "write 1 ERR|; end 1"},
 		{"further figures", "OPEN a 1f c=feed,zz=1,h=2,r=1,d=2000|", "dial s1 10.0.0.1:9000"},
@@ -262,8 +263,9 @@
 	s.play("slow, in pieces", step{100, "open 1", ""}, step{1000, "came 1 OPEN a 1f c=fe", ""},
 		step{1599, "came 1 ed,d=2000|", "dial s1 10.0.0.1:9000"},
 		step{1601, "up s1", "write s1 OPEN a 1f c=feed,d=1988|"},
-		step{1603, "came s1 UP r|LOAD 7|", "write 1 UP r|; write 1 LOAD 7|"}, step{1604, "came 1 more|", "write s1 more|"},
-		step{1605, "open 2", ""}, step{1606, "came 2 OPEN a 2f c=feed,d=2000|", "write 2 ERR|; end 2"}, // its id is in use
+		step{1603, "came s1 UP r|LOAD 7|", "write 1 UP r|; write 1 LOAD 7|"},
+		step{1604, "came 1 more|", "write s1 more|"},
+		step{1605, "open 2", ""}, step{1606, "came 2 OPEN a 2f c=feed,d=2000|", "write 2 ERR|; end 2"}, // in use
 		step{1607, "end 1", "end 1; end s1"}, step{1608, "open 3", ""},
 		step{1609, "came 3 OPEN a 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"})
 	s = open(t, nil, 0, "b1=active")
@@ -351,8 +353,9 @@
 		name, answer string
 		want         bool
 	}{{"says nothing at all", "tick", true}, {"still answers lines", "came s1 b|", false}} {
-		s := open(t, func(text string) string { return strings.Replace(text, `"probes": false`, `"probes": true`, 1) },
-			0, "b1=active")
+		s := open(t, func(text string) string {
+			return strings.Replace(text, `"probes": false`, `"probes": true`, 1)
+		}, 0, "b1=active")
 		s.stands()
 		for _, event := range []string{"up s2", "came s2 PONG x0=0.1|"} {
 			s.at(400, event)
@@ -482,7 +485,8 @@
 	s.stands()
 	s.play("to another discovery", step{200, "news 1 7 whole b1=active b2=active", ""},
 		step{300, "refuse", ""}, step{301, "reload 10.1.0.1:85", ""},
-		step{302, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"}, step{303, "news 1 8 delta b1=leaving", ""},
+		step{302, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"},
+		step{303, "news 1 8 delta b1=leaving", ""},
 		step{310, "failed 2", ""}, step{560, "tick", "watch 3 after 0 at 10.1.0.2:85"},
 		step{1759, "tick", ""}, step{1760, "tick", "unwatch"},
 		step{2010, "tick", "watch 4 after 0 at 10.1.0.2:85"}, step{2011, "came 1 x|", "write s1 x|"},
@@ -496,7 +500,8 @@
 		step{3000, "heard 2", ""}, step{3001, "news 2 1 whole b1=active", ""}, step{6500, "heard 2", ""})
 	s = open(t, nil, 0, "b1=active")
 	s.play("many in a row, one in a stop", step{1, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"},
-		step{2, "reload 10.1.0.3:85", "watch 3 after 0 at 10.1.0.3:85"}, step{3, "failed 2", ""}, step{4, "stop", ""},
+		step{2, "reload 10.1.0.3:85", "watch 3 after 0 at 10.1.0.3:85"}, step{3, "failed 2", ""},
+		step{4, "stop", ""},
 		step{5, "reload 10.1.0.1:85", "watch 4 after 0"}, step{6, "news 4 1 delta b1=leaving", ""},
 		step{504, "tick", "quit"})
 	assert.Equal(t, logic.Draining, s.named("b1").condition)
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -65,7 +65,8 @@
 
 // Serve runs the relay until it has stopped. Again reads anew what the relay is told; stop, print and reload
 // bring the signals.
-func Serve(t *Told, again func() (*Told, error), log *slog.Logger, stop, print, reload <-chan struct{}) error {
+func Serve(t *Told, again func() (*Told, error), log *slog.Logger,
+	stop, print, reload <-chan struct{}) error {
 	now := time.Now()
 	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
 		dialing: map[uint64]context.CancelFunc{}, quit: make(chan struct{})}
--- a/internal/relay/sockets_test.go
+++ b/internal/relay/sockets_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// narrow is Sockets without a relay, and a way to connect them to a peer that takes little in unless it reads.
+// narrow is Sockets without a relay, and a way to connect them to a peer that takes little in till it reads.
 func narrow(t *testing.T) (s *Sockets, connect func() (*socket, net.Conn)) {
 	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
@@ -73,7 +73,7 @@
 	}
 }
 
-// Against a flood that is read on and on once its connection is ended, as its peer doesn't take the last words.
+// Against a flood that is read on and on once its connection is ended, as its peer takes no last words.
 func TestFloodBehindTheEndIsCutOff(t *testing.T) {
 	s, connect := narrow(t)
 	k, in := connect()
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -543,8 +543,8 @@
 }
 
 // Leave says how long the nth of so many links that must go is left where it is: to the end of what a stop
-// leaves, as a relay stopped before may not be back yet, or as a server goes (0). Paced against a fleet placed
-// anew by one late report: they come again at once.
+// leaves, as a relay stopped before may not be back yet, or as a server goes (0). Paced against a fleet that
+// is placed anew by one late report: they come again at once.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
 	over := min(cmp.Or(within, leaveOver), leaveOver)
 	if within > 0 && b.shares.relays < 2 {
