--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -440,7 +440,7 @@
 	default:
 		r.BadClients[SaidMore]++
 		c := l.client
-		r.write(c, errLine)
+		r.write(c, []byte(errLine))
 		r.clientOver(l, Event{})
 		r.forget(c, End)
 	}
@@ -455,7 +455,7 @@
 	r.Pings++
 	switch {
 	case r.stopping:
-		r.write(c, []byte("ERR\r\n"))
+		r.write(c, []byte(errLine))
 	case r.ready:
 		r.write(c, []byte("PONG\r\n"))
 	}
@@ -478,27 +478,27 @@
 }
 
 // refuse answers a client that has no link.
-func (r *Reducer) refuse(l *link, why Badness, text []byte) {
+func (r *Reducer) refuse(l *link, why Badness, text string) {
 	r.BadClients[why]++
 	if r.now >= r.noteAt {
 		r.noteAt = r.now + noteGap
 		r.note("client turned away", "why", why.String(), "so many", r.BadClients[why])
 	}
 	r.headed(l, done)
-	r.write(l.client, text)
+	r.write(l.client, []byte(text))
 	r.forget(l.client, End)
 }
 
-var errLine = []byte("ERR\r\n")
+const errLine = "ERR\r\n"
 
 // busy has a client come again later, where it may be told when.
-func (r *Reducer) busy() []byte { return busyLine(r.maxBack) }
+func (r *Reducer) busy() string { return busyLine(r.maxBack) }
 
-func busyLine(wait float64) []byte {
+func busyLine(wait float64) string {
 	if wait > 0 {
-		return []byte("BUSY " + strconv.FormatInt(int64(wait), 10) + "\r\n")
+		return "BUSY " + strconv.FormatInt(int64(wait), 10) + "\r\n"
 	}
-	return []byte("BUSY\r\n")
+	return "BUSY\r\n"
 }
 
 // begin takes a link in, once its head has been judged whole: against work and wrong blame at a backend that
@@ -561,10 +561,10 @@
 }
 
 // answer gives the final answer of a link that doesn't stand.
-func (r *Reducer) answer(l *link, text []byte) {
+func (r *Reducer) answer(l *link, text string) {
 	r.leaveHand(l)
 	if l.client != nil {
-		r.write(l.client, text)
+		r.write(l.client, []byte(text))
 		r.forget(l.client, End)
 	}
 }
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	silence    = 4000.0  // of a link whose lines bring nothing back; the first may come two seconds late
+	silence    = 4000.0  // of lines that bring nothing back; two more till the first comes, and the bound is 7 s
 	idleClient = 20000.0 // ten of a client's lines missed
 	endTime    = 500.0   // for the end of a connection after BYE or MOVE; the protocol's bound is a second
 	lastComers = 500.0   // clients still come for this long after a stop begins
