Read-through: the gate, the beliefs and the watch's time told once, more simply

No behaviour changes and no assertion does. The gate decided whether it is full in its loop's condition, in a break and in a branch: now it lets go while it may, then looks once. Beliefs walked over all connections for each backend: now once. A watch's timer was armed in two branches that differ by a figure. In tests, four closures that change one setting are one function.

--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -42,16 +42,17 @@
 // Beliefs are those of all backends, by name. Against a module that goes by what is no longer so: they can be
 // asked for while the relay serves.
 func (r *Reducer) Beliefs(now float64) []Belief {
+	tries := map[*backend]int{}
+	for _, c := range r.ends {
+		if c.backend != nil && c.link != nil && c.link.stage == trying {
+			tries[c.backend]++
+		}
+	}
 	var all []Belief
 	for _, b := range r.backends {
 		links, heard, out := r.table.Balancer.View(b.id)
-		all = append(all, Belief{Name: b.Name, Standing: len(b.links), Booked: links, Out: out,
-			ReportAge: now - heard})
-		for _, c := range r.ends {
-			if c.backend == b && c.link != nil && c.link.stage == trying {
-				all[len(all)-1].Trying++
-			}
-		}
+		all = append(all, Belief{Name: b.Name, Standing: len(b.links), Trying: tries[b], Booked: links,
+			ReportAge: now - heard, Out: out})
 	}
 	slices.SortFunc(all, func(a, b Belief) int { return cmp.Compare(a.Name, b.Name) })
 	return all
@@ -194,11 +195,11 @@
 	r.watches++
 	r.watching, r.asked = r.watches, r.index
 	r.do(Effect{Do: Watch, Conn: r.watching, After: r.index, Text: r.source})
+	beat := watchBeat
 	if r.untold {
-		r.arm(&r.watched, r.now+renewBeat)
-	} else {
-		r.arm(&r.watched, r.now+watchBeat)
+		beat = renewBeat
 	}
+	r.arm(&r.watched, r.now+beat)
 }
 
 // Subscribe has the list watched. A watch that still brings its empty lines needs no other.
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -296,17 +296,13 @@
 // to be accepted meanwhile. Against silent ones taking the descriptors that links need; and against breaking
 // one whose head may be on its way: it is told to come again.
 func (r *Reducer) gate() {
-	full := false
-	for !full && (r.heads > r.mostMute() || len(r.ends) >= r.most) {
-		if full = len(r.mute) == 0; full {
-			break
-		}
-		oldest := r.mute[0]
-		if full = r.now < oldest.since+grace; full {
-			r.arm(&r.ageing, oldest.since+grace)
-		} else {
-			r.refuse(oldest.link, PushedOut, r.busy())
-		}
+	crowded := func() bool { return r.heads > r.mostMute() || len(r.ends) >= r.most }
+	for crowded() && len(r.mute) > 0 && r.now >= r.mute[0].since+grace {
+		r.refuse(r.mute[0].link, PushedOut, r.busy())
+	}
+	full := crowded()
+	if full && len(r.mute) > 0 {
+		r.arm(&r.ageing, r.mute[0].since+grace)
 	}
 	if full != r.full {
 		r.full = full
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -51,6 +51,11 @@
 	return s
 }
 
+// with is a change of the settings for open.
+func with(old, new string) func(string) string {
+	return func(text string) string { return strings.Replace(text, old, new, 1) }
+}
+
 // entries reads NAME=STATUS, or NAME=STATUS@SINCE; the address comes of the name's digit.
 func entries(words []string) []Entry {
 	var list []Entry
@@ -288,9 +293,8 @@
 	}{
 		{"while dialing", "tick", nil, "end 1; break s1"},
 		{"while a try is out", "up s1", nil, "end 1; end s1"},
-		{"where a try may not be called off", "up s1", func(s string) string {
-			return strings.Replace(s, `"may-cancel": true`, `"may-cancel": false`, 1)
-		}, "end 1"},
+		{"where a try may not be called off", "up s1", with(`"may-cancel": true`, `"may-cancel": false`),
+			"end 1"},
 	} {
 		s := open(t, c.change, 0, "b1=active")
 		s.play(c.name, step{100, "open 1", ""}, step{100, "came 1 OPEN a 1f c=feed,d=2000|",
@@ -353,9 +357,7 @@
 		name, answer string
 		want         bool
 	}{{"says nothing at all", "tick", true}, {"still answers lines", "came s1 b|", false}} {
-		s := open(t, func(text string) string {
-			return strings.Replace(text, `"probes": false`, `"probes": true`, 1)
-		}, 0, "b1=active")
+		s := open(t, with(`"probes": false`, `"probes": true`), 0, "b1=active")
 		s.stands()
 		for _, event := range []string{"up s2", "came s2 PONG x0=0.1|"} {
 			s.at(400, event)
@@ -413,10 +415,7 @@
 		step{1101, "up s2", "write s2 OPEN b 1f c=feed,d=1989|"}, step{1102, "came s2 UP r|", "write 2 UP r|"},
 		step{3399, "came 1 x|", "write s1 x|"},
 		step{3400, "tick", "write 1 MOVE|; end 1; end s1; write 2 MOVE|; end 2; end s2; quit"})
-	s = open(t, func(text string) string {
-		return strings.Replace(text, `"replicas-of-me": 1`, `"replicas-of-me": 2`, 1)
-	},
-		0, "b1=active")
+	s = open(t, with(`"replicas-of-me": 1`, `"replicas-of-me": 2`), 0, "b1=active")
 	s.stands()
 	s.play("stop", step{1000, "stop", ""},
 		step{1000, "open 2", ""}, step{1001, "came 2 PING|", "write 2 ERR|"},
@@ -531,11 +530,7 @@
 }
 
 func TestProbes(t *testing.T) {
-	s := open(t, func(text string) string {
-		return strings.Replace(text, `"probes": false`, `"probes": true`,
-			1)
-	}, 0,
-		"b1=active")
+	s := open(t, with(`"probes": false`, `"probes": true`), 0, "b1=active")
 	s.play("one connection serves", step{299, "tick", "dial s1 10.0.0.1:9000"}, step{300, "up s1",
 		"write s1 STATS|"},
 		step{301, "came s1 PONG qps=7,ut", ""}, step{302, "came s1 il=1,x0=0.5|", ""}, step{1500, "tick",
