--- a/cmd/valeshift/main.go
+++ b/cmd/valeshift/main.go
@@ -2,35 +2,116 @@
 package main
 
 import (
-	"log/slog"
+	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
+	"valeshift/internal/operator"
 	"valeshift/internal/relay"
 )
 
+// line is the command line.
+type line struct {
+	Operator string `help:"The operators' file, in TOML. None: its defaults." placeholder:"FILE" env:"VALESHIFT_OPERATOR"`
+
+	Run     runCommand     `cmd:"" default:"1" help:"Serve until SIGTERM (what is done with no arguments)."`
+	Check   checkCommand   `cmd:"" help:"Read all configuration and name the field that is wrong; start nothing."`
+	Version versionCommand `cmd:"" help:"Say which build this is."`
+}
+
 func main() {
 	// Before all else: against a signal that comes early ending the program.
-	stop, print, reload := on(syscall.SIGTERM, os.Interrupt), on(syscall.SIGUSR1), on(syscall.SIGHUP)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	told, err := relay.ReadTold(os.Getenv)
-	if err != nil {
-		log.Error("bad configuration", "err", err)
+	signals := signals{on(syscall.SIGTERM, os.Interrupt), on(syscall.SIGUSR1), on(syscall.SIGHUP)}
+	var l line
+	asked := kong.Parse(&l, kong.Name("valeshift"), kong.UsageOnError(),
+		kong.Description("A balancer for long-lived connections. RELAY_CONFIG names the platform's file."))
+	if err := asked.Run(&l, signals); err != nil {
 		os.Exit(1)
 	}
+}
+
+type signals struct{ stop, print, reload <-chan struct{} }
+
+type runCommand struct{}
+
+// Run serves. All errors are logged here, in the form that the operators chose.
+func (runCommand) Run(l *line, signals signals) error {
+	log := operator.NewLogger(os.Stderr, operator.Log{})
+	told, file, err := read(l, relay.ReadTold)
+	if err != nil {
+		log.Slog().Error("bad configuration", "err", err)
+		return err
+	}
+	log.Change(file.Log)
 	// One more than the cores: while the poller sits in its system call, another thread serves the rest at once.
 	runtime.GOMAXPROCS(max(int(told.Cores), 1) + 1)
 	if told.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(told.MemoryMB * 0.6 * (1 << 20)))
 	}
-	again := func() (*relay.Told, error) { return relay.ReadAgain(os.Getenv) }
-	if err := relay.Serve(told, again, log, stop, print, reload); err != nil {
-		log.Error("can't serve", "err", err)
-		os.Exit(1)
+	again := func() (*relay.Told, func(), error) {
+		told, file, err := read(l, relay.ReadAgain)
+		if err != nil {
+			return nil, nil, err
+		}
+		return told, func() { log.Change(file.Log) }, nil
+	}
+	err = relay.Serve(told, again, log.Slog(), signals.stop, signals.print, signals.reload)
+	if err != nil {
+		log.Slog().Error("can't serve", "err", err)
+	}
+	return err
+}
+
+type checkCommand struct{}
+
+// Run checks what a start would, by the same steps.
+func (checkCommand) Run(l *line) error {
+	told, _, err := read(l, relay.ReadTold)
+	if err == nil {
+		err = relay.Check(told)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "valeshift: check:", err)
+		return err
+	}
+	_, err = fmt.Printf("ok: %s listens on %s, discovery %s, %d servers known\n",
+		told.Name, told.Listen, told.Discovery, len(told.Known.Entries))
+	return err
+}
+
+type versionCommand struct{}
+
+// Run prints the build.
+func (versionCommand) Run() error { return say(os.Stdout) }
+
+func say(to io.Writer) error {
+	number, revision := "unknown", ""
+	if info, ok := debug.ReadBuildInfo(); ok {
+		number = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = " " + s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(to, "valeshift %s%s %s\n", number, revision, runtime.Version())
+	return err
+}
+
+// read reads the platform's file by the function given, and the operators'.
+func read(l *line, platform func(func(string) string) (*relay.Told, error)) (*relay.Told, *operator.File, error) {
+	told, err := platform(os.Getenv)
+	if err != nil {
+		return nil, nil, err
 	}
+	file, err := operator.Read(l.Operator)
+	return told, file, err
 }
 
 func on(signals ...os.Signal) <-chan struct{} {
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -248,6 +248,12 @@
 	return r, nil
 }
 
+// Check tells whether a relay could be built from what it is told.
+func Check(t *Told) error {
+	_, err := New(0, t)
+	return err
+}
+
 // Take takes one event and gives what is to be done, good until the next call.
 func (r *Reducer) Take(now float64, e Event) []Effect {
 	r.now = now
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -63,9 +63,9 @@
 	quit    chan struct{}
 }
 
-// Serve runs the relay until it has stopped. Again reads anew what the relay is told; stop, print and reload
-// bring the signals.
-func Serve(t *Told, again func() (*Told, error), log *slog.Logger,
+// Serve runs the relay until it has stopped. Again reads anew what the relay is told, and gives what is to be
+// done besides once that is found to be right as a whole; stop, print and reload bring the signals.
+func Serve(t *Told, again func() (*Told, func(), error), log *slog.Logger,
 	stop, print, reload <-chan struct{}) error {
 	now := time.Now()
 	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
@@ -116,13 +116,14 @@
 }
 
 // reloaded is the event of one reload. The file is checked whole, by the same steps as at the start.
-func (s *Sockets) reloaded(t *Told, err error) Event {
+func (s *Sockets) reloaded(t *Told, besides func(), err error) Event {
 	if err == nil {
-		_, err = New(s.now(), t)
+		err = Check(t)
 	}
 	if err != nil {
 		return Event{Kind: Reload, Err: err}
 	}
+	besides()
 	return Event{Kind: Reload, Text: t.Discovery}
 }
 
