--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -241,7 +241,7 @@
 	return logic.Errored
 }
 
-func (h *host) list(b *logic.Balancer, how uint8, page uint32) {
+func (h *host) list(b hand.Module, how uint8, page uint32) {
 	if how == 3 {
 		b.ListFailed(h.now)
 		return
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -33,16 +33,39 @@
 	Subscribe()
 }
 
+// Module decides. In service it is the balancer of logic; the lab compares others with it.
+type Module interface {
+	Place(now float64, l *logic.Link) logic.Answer
+	After(now float64, l *logic.Link, outcome logic.Outcome, last bool) logic.Answer
+	Next(now float64) logic.Due
+
+	ListBegan(whole bool)
+	Listed(id uint32, zone int, cond logic.Condition, cell int, started, weight float64)
+	ListEnded(now float64)
+	ListFailed(now float64)
+	Probed(now float64, id uint32, ok bool, report []float64)
+	Reported(now float64, id uint32, report []float64)
+	Accepted(now float64, l *logic.Link)
+	Weighed(l *logic.Link, load float64)
+	Resumed(now float64, l *logic.Link, id uint32)
+	Vanished(l *logic.Link) bool
+
+	Leave(nth, of int, within float64) float64
+	Lost(id uint32, quiet float64) bool
+	View(id uint32) (links int, heard float64, out bool)
+	Knows(category int) bool
+}
+
 // Table is what one relay has in hand.
 type Table[L Held] struct {
-	Balancer *logic.Balancer
+	Balancer Module
 	driver   Driver[L]
 	held     []L
 	answered bool // a probe was, for which held links may wait
 }
 
 // NewTable joins the module and its driver.
-func NewTable[L Held](b *logic.Balancer, driver Driver[L]) *Table[L] {
+func NewTable[L Held](b Module, driver Driver[L]) *Table[L] {
 	return &Table[L]{Balancer: b, driver: driver}
 }
 
--- /dev/null
+++ b/internal/lab/audit/audit.go
@@ -0,0 +1,370 @@
+// Package audit holds what relays do against the rules, by what clients, servers and discovery saw: one final
+// answer in time, nothing twice, drains kept, no cold server pushed over, no line lost, doubled or held. It
+// sees no relay from the inside, so that a relay broken in any way can be caught.
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// Rule is what can be broken.
+type Rule uint8
+
+// The rules.
+const (
+	FinalAnswer Rule = iota // exactly one, before the hard limit
+	Twice                   // no effect twice, one setup try out at a time
+	Drain                   // nothing new to a server that is said to leave or to be gone
+	Cold                    // no cold server pushed over
+	Lines                   // passed on once, in order, at once; no link cut off without a word
+	rules
+)
+
+var ruleNames = [...]string{"final answer", "twice", "drain", "cold", "lines"}
+
+func (r Rule) String() string { return ruleNames[r] }
+
+// Break is one broken rule.
+type Break struct {
+	Rule Rule
+	At   float64
+	Link string
+	What string
+}
+
+func (b Break) String() string {
+	return fmt.Sprintf("%.1f %s: %s (link %s)", b.At, b.Rule, b.What, b.Link)
+}
+
+const (
+	grace      = 50.0   // that each time limit is longer
+	drainIn    = 500.0  // after news of a drain
+	holdLimit  = 1000.0 // for a line
+	mostKept   = 200    // breaks; all are counted
+	forgetting = 30000.0
+)
+
+type link struct {
+	relay, life int // and which life of it
+	effect      string
+	asked, due  float64
+	answered    string
+	over        bool // for the client
+	moved       bool
+	closed      bool // by its server
+	onDark      bool // it was on a server that was dark
+	took        int
+	tries       []try
+	got         [2]int
+}
+
+type try struct {
+	server  string
+	at, end float64 // end: 0 while out
+	dark    bool
+}
+
+type told struct {
+	status string
+	at     float64
+	since  float64
+}
+
+type push struct{ at, load float64 }
+
+// Auditor is a model.Witness. It is not safe for calls side by side.
+type Auditor struct {
+	slack    float64
+	multiple float64
+	window   float64
+	links    map[string]*link
+	lives    map[int]int
+	told     map[int]map[string]told
+	dark     map[string]bool
+	pushes   map[string][]push
+	pushedAt map[string]float64
+	swept    float64
+	Breaks   []Break
+	Counts   [rules]int
+	Asks     int
+	Tries    int
+	Lines    int
+}
+
+// New takes how much later than it was said a thing may be seen, and the multiple of its present capacity that
+// a cold server may be sent within the window.
+func New(slack, multiple, window float64) *Auditor {
+	return &Auditor{slack: slack, multiple: multiple, window: window, links: map[string]*link{},
+		lives: map[int]int{}, told: map[int]map[string]told{}, dark: map[string]bool{},
+		pushes: map[string][]push{}, pushedAt: map[string]float64{}}
+}
+
+func (a *Auditor) breaks(rule Rule, now float64, id, format string, args ...any) {
+	a.Counts[rule]++
+	if len(a.Breaks) < mostKept {
+		a.Breaks = append(a.Breaks, Break{rule, now, id, fmt.Sprintf(format, args...)})
+	}
+}
+
+// Broken counts all breaks.
+func (a *Auditor) Broken() (n int) {
+	for _, c := range a.Counts {
+		n += c
+	}
+	return n
+}
+
+// excused tells whether the relay that the link was asked of has died since.
+func (a *Auditor) excused(l *link) bool { return a.lives[l.relay] != l.life }
+
+// Asked takes that a link was asked for.
+func (a *Auditor) Asked(now float64, id string, relay int, effect string, wait float64) {
+	a.sweep(now)
+	a.Asks++
+	if a.links[id] != nil {
+		a.breaks(FinalAnswer, now, id, "a client used one id twice: the lab is at fault")
+	}
+	a.links[id] = &link{relay: relay, life: a.lives[relay], effect: effect, asked: now, due: now + wait}
+}
+
+// Answered takes the first line that the client heard.
+func (a *Auditor) Answered(now float64, id, verb string) {
+	l := a.links[id]
+	if l == nil {
+		return
+	}
+	l.answered = verb
+	switch {
+	case verb != "UP" && verb != "BUSY" && verb != "ERR":
+		a.breaks(FinalAnswer, now, id, "%q is no answer", verb)
+	case now > l.due+grace+a.slack:
+		a.breaks(FinalAnswer, now, id, "%s came %.0f ms after the hard limit", verb, now-l.due)
+	case verb == "UP" && l.took == 0:
+		a.breaks(FinalAnswer, now, id, "UP that no server said")
+	case verb == "BUSY" && l.effect == "single-use" && l.took > 0:
+		a.breaks(Twice, now, id, "told that trying again is harmless, and it was done already")
+	}
+}
+
+// Heard takes a line that is none of the server's numbered ones.
+func (a *Auditor) Heard(now float64, id, verb string) {
+	l := a.links[id]
+	if l == nil {
+		return
+	}
+	if verb == "MOVE" && l.answered == "UP" {
+		l.moved = true
+		return
+	}
+	a.breaks(FinalAnswer, now, id, "%s after %s", verb, l.answered)
+}
+
+// Ended takes that the relay's side ended the client's connection.
+func (a *Auditor) Ended(now float64, id string, broken bool) {
+	l := a.links[id]
+	if l == nil || l.over {
+		return
+	}
+	l.over = true
+	switch {
+	case a.excused(l):
+	case l.answered == "":
+		a.breaks(FinalAnswer, now, id, "ended without an answer")
+	case l.answered == "UP" && !l.moved && !l.closed && !l.onDark:
+		a.breaks(Lines, now, id, "cut off without MOVE while its server serves (broken %t)", broken)
+	}
+}
+
+// Left takes that the client ended its connection.
+func (a *Auditor) Left(now float64, id string) {
+	l := a.links[id]
+	if l == nil || l.over {
+		return
+	}
+	l.over = true
+	if l.answered == "" && now > l.due+grace && !a.excused(l) {
+		a.breaks(FinalAnswer, now, id, "no answer %.0f ms after it was asked", now-l.asked)
+	}
+}
+
+// TryCame takes a setup try.
+func (a *Auditor) TryCame(now float64, id, server string, cold bool, capacity, load float64) {
+	a.Tries++
+	l := a.links[id]
+	if l == nil {
+		a.breaks(Twice, now, id, "a try on %s of a link that nobody asked for", server)
+		return
+	}
+	news := a.told[l.relay][server]
+	if news.status != "" && news.status != "active" && now > news.at+drainIn+a.slack {
+		a.breaks(Drain, now, id, "to %s, %s for %.0f ms by what its relay was told", server, news.status, now-news.at)
+	}
+	if cold && news.since > 0 {
+		a.push(now, id, server, capacity, load)
+	}
+	l.tries = append(l.tries, try{server: server, at: now, dark: a.dark[server]})
+}
+
+// push counts what a cold server is sent by relays that know that it is cold. A single link is never too much.
+func (a *Auditor) push(now float64, id, server string, capacity, load float64) {
+	kept, sum := a.pushes[server][:0], load
+	for _, p := range a.pushes[server] {
+		if p.at > now-a.window {
+			kept, sum = append(kept, p), sum+p.load
+		}
+	}
+	a.pushes[server] = append(kept, push{now, load})
+	if len(kept) > 0 && sum > a.multiple*capacity && now > a.pushedAt[server]+a.window {
+		a.pushedAt[server] = now
+		a.breaks(Cold, now, id, "%s was sent %.2f cores within %.0f ms, and has %.2f", server, sum, a.window, capacity)
+	}
+}
+
+// TryOver takes that a try is over for its server.
+func (a *Auditor) TryOver(now float64, id, server string) {
+	l := a.links[id]
+	if l == nil {
+		return
+	}
+	for i := range l.tries {
+		if t := &l.tries[i]; t.server == server && t.end == 0 {
+			t.end = now
+			a.overlap(id, l, i)
+			return
+		}
+	}
+}
+
+// overlap looks at a try that has ended beside those that were out meanwhile. A dark server hears of no end.
+func (a *Auditor) overlap(id string, l *link, i int) {
+	t := l.tries[i]
+	for j, other := range l.tries {
+		if j == i || t.dark || other.dark {
+			continue
+		}
+		end := t.end
+		if other.end > 0 {
+			end = min(end, other.end)
+			if j > i { // counted when that one ended
+				continue
+			}
+		}
+		if both := end - max(t.at, other.at); both > a.slack {
+			a.breaks(Twice, t.end, id, "tries on %s and %s out at once for %.1f ms", t.server, other.server, both)
+		}
+	}
+}
+
+// Took takes that a server has done what the link asks for.
+func (a *Auditor) Took(now float64, id, server string) {
+	l := a.links[id]
+	if l == nil {
+		return
+	}
+	if l.took++; l.took > 1 && l.effect == "single-use" {
+		a.breaks(Twice, now, id, "single-use, and done again on %s", server)
+	}
+}
+
+// Closed takes that the server ended a link that stood.
+func (a *Auditor) Closed(_ float64, id, _ string) {
+	if l := a.links[id]; l != nil {
+		l.closed = true
+	}
+}
+
+// Said takes nothing: what is got is held against its numbers.
+func (a *Auditor) Said(float64, string, bool, int) {}
+
+// Got takes a numbered line.
+func (a *Auditor) Got(now float64, id string, down bool, n int, saidAt float64) {
+	a.Lines++
+	l := a.links[id]
+	if l == nil {
+		return
+	}
+	way := 0
+	if down {
+		way = 1
+	}
+	switch want := l.got[way] + 1; {
+	case n > want:
+		a.breaks(Lines, now, id, "%d lines lost before number %d (down %t)", n-want, n, down)
+	case n < want:
+		a.breaks(Lines, now, id, "line %d came again (down %t)", n, down)
+	case now > saidAt+holdLimit+grace+a.slack && !l.onDark:
+		a.breaks(Lines, now, id, "line %d held for %.0f ms (down %t)", n, now-saidAt, down)
+	}
+	l.got[way] = max(l.got[way], n)
+}
+
+// Told takes that news has reached a relay.
+func (a *Auditor) Told(now float64, relay int, server, status string, since float64) {
+	if a.told[relay] == nil {
+		a.told[relay] = map[string]told{}
+	}
+	was := a.told[relay][server]
+	if was.status == status && was.since == since {
+		return
+	}
+	a.told[relay][server] = told{status, now, since}
+}
+
+// Relay takes that one has ended, or serves.
+func (a *Auditor) Relay(_ float64, relay int, up bool) {
+	if !up {
+		a.lives[relay]++
+		delete(a.told, relay)
+	}
+}
+
+// Dark takes that nothing passes to a server, or again. What stood on it is marked for good.
+func (a *Auditor) Dark(_ float64, server string, dark bool) {
+	a.dark[server] = dark
+	for _, l := range a.links {
+		for i := range l.tries {
+			if l.tries[i].server == server {
+				l.onDark = true
+				l.tries[i].dark = l.tries[i].dark || l.tries[i].end == 0
+			}
+		}
+	}
+}
+
+// sweep forgets links that are long over.
+func (a *Auditor) sweep(now float64) {
+	if now < a.swept+forgetting {
+		return
+	}
+	a.swept = now
+	for id, l := range a.links {
+		if l.over && now > l.due+forgetting && !slices.ContainsFunc(l.tries, func(t try) bool { return t.end == 0 }) {
+			delete(a.links, id)
+		}
+	}
+}
+
+// Finish looks at what is still out at the end of a run, in the order of the links' ids.
+func (a *Auditor) Finish(now float64) {
+	var ids []string
+	for id := range a.links {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(x, y string) int {
+		return cmp.Or(cmp.Compare(a.links[x].asked, a.links[y].asked), cmp.Compare(x, y))
+	})
+	for _, id := range ids {
+		l := a.links[id]
+		if l.answered == "" && !l.over && now > l.due+grace+a.slack && !a.excused(l) {
+			a.breaks(FinalAnswer, now, id, "no answer at the end of the run")
+		}
+		for i := range l.tries {
+			if l.tries[i].end == 0 {
+				l.tries[i].end = now
+				a.overlap(id, l, i)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/baseline/baseline.go
@@ -0,0 +1,230 @@
+// Package baseline has the policies that the lab holds the decision module against, behind the module's own
+// calls, so that the same relay runs on them: random choice, round robin, least links of the relay's own, the
+// better of two by those, and perfect sight, which knows every server's load at the moment. They serve in no
+// deployment. Each link has as many setup tries as the module's, under the same rules of repeating.
+package baseline
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+
+	"valeshift/logic"
+)
+
+// Module is one baseline in one relay.
+type Module struct {
+	policy     string
+	chance     *rand.Rand
+	categories []logic.Category
+	mostTries  int
+	maxBack    float64
+	truth      func(id uint32) float64 // load, for perfect sight
+
+	index   map[uint32]int
+	ids     []uint32
+	ready   []bool
+	links   []int
+	mention []bool
+	whole   bool
+	turn    int
+	state   map[*logic.Link]*link
+	askAt   float64
+	shifts  []int
+}
+
+type link struct {
+	server, tries int
+	out, open     bool
+	gone, ran     bool
+}
+
+// New takes the policy's name, what its chance is drawn from, the categories, the most setup tries of a link,
+// the longest time to come back that may be told, and the servers' true loads, which only "sight" reads.
+func New(policy string, seed uint64, categories []logic.Category, mostTries int, maxBack float64,
+	truth func(id uint32) float64) (*Module, error) {
+	switch policy {
+	case "random", "round-robin", "least", "two", "sight":
+	default:
+		return nil, fmt.Errorf("variants: no baseline is called %q", policy)
+	}
+	return &Module{policy: policy, chance: rand.New(rand.NewSource(int64(seed))), categories: categories,
+		mostTries: mostTries, maxBack: maxBack, truth: truth, index: map[uint32]int{},
+		state: map[*logic.Link]*link{}, askAt: math.Inf(1)}, nil
+}
+
+// Place says where the link goes, or that it is given up.
+func (m *Module) Place(now float64, l *logic.Link) logic.Answer {
+	s := m.state[l]
+	if s == nil {
+		s = &link{server: -1}
+		m.state[l] = s
+	}
+	if s.tries >= m.mostTries || now >= l.Limit || (s.ran && m.categories[l.Category].Effect != logic.Replayable) {
+		return m.end(l, s)
+	}
+	server := m.choose(s.server)
+	if server < 0 {
+		return m.end(l, s)
+	}
+	s.server, s.out = server, true
+	s.tries++
+	m.links[server]++
+	return logic.Answer{Verdict: logic.Send, Backend: m.ids[server], Timeout: l.Limit - now, Round: s.tries - 1}
+}
+
+func (m *Module) end(l *logic.Link, s *link) logic.Answer {
+	delete(m.state, l)
+	if !s.ran || m.categories[l.Category].Effect == logic.Replayable {
+		return logic.Answer{Verdict: logic.Reject, Wait: m.maxBack}
+	}
+	return logic.Answer{Verdict: logic.Fail}
+}
+
+// choose picks among the servers that are ready, but for the one that the link was tried on last.
+func (m *Module) choose(not int) int {
+	some := m.shifts[:0]
+	for s, ready := range m.ready {
+		if ready && s != not {
+			some = append(some, s)
+		}
+	}
+	m.shifts = some
+	if len(some) == 0 {
+		return -1
+	}
+	least := func(of []int, figure func(s int) float64) int {
+		best, by := -1, math.Inf(1)
+		from := m.chance.Intn(len(of)) // so that equal ones take turns
+		for i := range of {
+			if s := of[(from+i)%len(of)]; figure(s) < by {
+				best, by = s, figure(s)
+			}
+		}
+		return best
+	}
+	own := func(s int) float64 { return float64(m.links[s]) }
+	switch m.policy {
+	case "round-robin":
+		m.turn++
+		return some[m.turn%len(some)]
+	case "least":
+		return least(some, own)
+	case "two":
+		return least([]int{some[m.chance.Intn(len(some))], some[m.chance.Intn(len(some))]}, own)
+	case "sight":
+		return least(some, func(s int) float64 { return m.truth(m.ids[s]) })
+	}
+	return some[m.chance.Intn(len(some))]
+}
+
+// After says what follows the outcome of a setup try, or of its link.
+func (m *Module) After(now float64, l *logic.Link, outcome logic.Outcome, last bool) logic.Answer {
+	s := m.state[l]
+	if s == nil || !s.out {
+		return logic.Answer{}
+	}
+	s.out = false
+	m.links[s.server]--
+	if last || s.open || s.gone {
+		delete(m.state, l)
+		return logic.Answer{}
+	}
+	s.ran = s.ran || (outcome != logic.TurnedAway && outcome != logic.Unreachable && outcome != logic.Unsent)
+	return m.Place(now, l)
+}
+
+// Next asks for the list where it has failed. Baselines send no probes.
+func (m *Module) Next(now float64) logic.Due {
+	if now >= m.askAt {
+		m.askAt = math.Inf(1)
+		return logic.Due{Subscribe: true}
+	}
+	return logic.Due{Wait: m.askAt - now}
+}
+
+// ListBegan starts news of the list.
+func (m *Module) ListBegan(whole bool) {
+	m.whole = whole
+	clear(m.mention)
+}
+
+// Listed takes one entry.
+func (m *Module) Listed(id uint32, _ int, cond logic.Condition, _ int, _, _ float64) {
+	s, known := m.index[id]
+	if !known {
+		s = len(m.ids)
+		m.index[id] = s
+		m.ids, m.ready, m.links = append(m.ids, id), append(m.ready, false), append(m.links, 0)
+		m.mention = append(m.mention, false)
+	}
+	m.ready[s], m.mention[s] = cond == logic.Ready, true
+}
+
+// ListEnded closes the news.
+func (m *Module) ListEnded(float64) {
+	for s, mentioned := range m.mention {
+		m.ready[s] = m.ready[s] && (mentioned || !m.whole)
+	}
+	m.askAt = math.Inf(1)
+}
+
+// ListFailed has the list asked for again soon.
+func (m *Module) ListFailed(now float64) { m.askAt = now + 200 + 200*m.chance.Float64() }
+
+// Probed takes nothing.
+func (m *Module) Probed(float64, uint32, bool, []float64) {}
+
+// Reported takes nothing.
+func (m *Module) Reported(float64, uint32, []float64) {}
+
+// Accepted takes that a link stands.
+func (m *Module) Accepted(_ float64, l *logic.Link) {
+	if s := m.state[l]; s != nil {
+		s.open = true
+	}
+}
+
+// Weighed takes nothing.
+func (m *Module) Weighed(*logic.Link, float64) {}
+
+// Resumed takes a link that stood before.
+func (m *Module) Resumed(_ float64, l *logic.Link, id uint32) {
+	if s, known := m.index[id]; known {
+		m.state[l] = &link{server: s, out: true, open: true}
+		m.links[s]++
+	}
+}
+
+// Vanished takes that the client has left.
+func (m *Module) Vanished(l *logic.Link) bool {
+	s := m.state[l]
+	if s == nil {
+		return false
+	}
+	s.gone = true
+	if !s.out {
+		delete(m.state, l)
+	}
+	return s.out
+}
+
+// Leave spreads what must go over a second and a half, to the end of the time there is.
+func (m *Module) Leave(nth, of int, within float64) float64 {
+	return max(within-1500, 0) + 1500*float64(nth)/float64(of)
+}
+
+// Lost is never held of a server.
+func (m *Module) Lost(uint32, float64) bool { return false }
+
+// View tells the links booked on a server.
+func (m *Module) View(id uint32) (int, float64, bool) {
+	s, known := m.index[id]
+	if !known {
+		return 0, math.Inf(-1), true
+	}
+	return m.links[s], math.Inf(-1), !m.ready[s]
+}
+
+// Knows tells whether there is such a category.
+func (m *Module) Knows(category int) bool { return category < len(m.categories) }
--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,293 @@
+// Package experiment reads the lab's experiment files: a fleet, its traffic, faults on a time axis and the
+// variants to compare. The same file is played under virtual time (valelab sim) and on loopback sockets
+// (valelab load). The package says which field is wrong and fills in what is left out; it plays nothing.
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"valeshift/internal/operator"
+)
+
+// Span is a length of time in milliseconds, written like "1.5s".
+type Span float64
+
+// UnmarshalText reads a length such as "250ms".
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil || d < 0 || d > 24*time.Hour {
+		return fmt.Errorf("a length from 0 to 24h expected, such as \"250ms\", got %q", text)
+	}
+	*s = Span(float64(d) / float64(time.Millisecond))
+	return nil
+}
+
+// MarshalText writes the length as it is read.
+func (s Span) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(math.Round(float64(s) * float64(time.Millisecond))).String()), nil
+}
+
+// Experiment is one file.
+type Experiment struct {
+	Name     string    `toml:"name"`
+	Seed     uint64    `toml:"seed"`
+	Length   Span      `toml:"length"`   // arrivals and faults end here
+	Warm     Span      `toml:"warm"`     // of it, the start that service isn't counted in
+	Variants []string  `toml:"variants"` // policies to compare; the first is the one that rules are checked on
+	Relays   Relays    `toml:"relays"`
+	Network  Network   `toml:"network"`
+	Fleet    Fleet     `toml:"fleet"`
+	Traffic  []Traffic `toml:"traffic"`
+	Faults   []Fault   `toml:"fault"`
+}
+
+// Relays says how many there are and how they come back.
+type Relays struct {
+	Count       int  `toml:"count"`
+	Back        Span `toml:"back"`         // from a relay's end to its next start
+	FrontNotice Span `toml:"front-notice"` // until the clients' front sees that one has died
+	Sockets     int  `toml:"sockets"`      // limit on descriptors; 0: none
+	Tries       int  `toml:"most-setup-tries"`
+	MaxBack     Span `toml:"max-retry-after"` // the longest time to come back that is told; 0: none
+	Probes      bool `toml:"probes"`
+}
+
+// Network is what lies between any two ends; two connections don't wait for one another.
+type Network struct {
+	Delay  Span    `toml:"delay"`  // one way, at the least
+	Jitter Span    `toml:"jitter"` // mean of what comes on top of it
+	Split  float64 `toml:"split"`  // chance that a piece arrives in two
+}
+
+// Fleet is the servers as they are at the start. Shares and factors are parts of one.
+type Fleet struct {
+	Servers     int     `toml:"servers"`
+	Zones       int     `toml:"zones"`
+	Cores       float64 `toml:"cores"`
+	SpeedSpread float64 `toml:"speed-spread"` // of one, either way, between servers
+	SetupWork   Span    `toml:"setup-work"`   // of one core, for each setup try
+	StoreRate   float64 `toml:"store-rate"`   // set-ups a second that the shared session store takes; 0: no store
+	Reports     Span    `toml:"reports"`      // age that load reports may reach
+	Noise       float64 `toml:"noise"`        // of a reported load, standard deviation
+	ColdFrom    float64 `toml:"cold-from"`    // part of its capacity that a server starts with
+	Cold        Span    `toml:"cold"`         // until it has all of it
+	TipMultiple float64 `toml:"tip-multiple"` // of its present capacity: pushed beyond it within Fall, it falls over
+	Fall        Span    `toml:"fall"`
+	Down        Span    `toml:"down"` // how long it lies there
+}
+
+// Traffic is links of one kind. They come whether or not those before were answered.
+type Traffic struct {
+	Category   string  `toml:"category"`
+	Party      string  `toml:"party"`
+	Gain       float64 `toml:"gain"`
+	Effect     string  `toml:"effect"` // replayable, referenced or single-use
+	Promised   Span    `toml:"promised"`
+	HardLimit  Span    `toml:"hard-limit"`
+	Rate       float64 `toml:"rate"`     // new clients a second
+	Standing   int     `toml:"standing"` // clients that come over the first two seconds
+	Life       Span    `toml:"life"`     // mean
+	Load       float64 `toml:"load"`     // mean, in thousandths of a core
+	LoadSpread float64 `toml:"load-spread"`
+	Every      Span    `toml:"every"` // between a client's lines
+	Groups     int     `toml:"groups"`
+	HonoursMS  float64 `toml:"honours-busy"` // share of clients that come back when told and not before
+	Retry      Span    `toml:"retry"`        // after which the others do
+}
+
+// Fault is something that goes wrong, or is done to the fleet, from At on for a time.
+type Fault struct {
+	Kind   string  `toml:"kind"`
+	At     Span    `toml:"at"`
+	For    Span    `toml:"for"`
+	Share  float64 `toml:"share"`  // of the servers, relays or clients, one at the least
+	Factor float64 `toml:"factor"` // what it means goes by the kind
+}
+
+// Kinds tells each kind of fault and what its factor means.
+var Kinds = map[string]string{
+	"silent":          "servers say nothing and take nothing in; their connections stay open",
+	"reset":           "servers break all their connections, once, at the start",
+	"refuse":          "servers refuse new connections",
+	"slow":            "servers work at that part of their speed (factor)",
+	"stalls":          "servers stand still for 300 ms of each second",
+	"neighbour":       "somebody else takes that part of the servers' cores (factor)",
+	"slow-store":      "the shared store works at that part of its rate (factor)",
+	"drain":           "servers are said to leave, and are back at the end",
+	"leave":           "servers are said to leave; 5 s later they are gone, and back, cold, at the end",
+	"growth":          "so many new cold servers come, as a part of the fleet (share)",
+	"cold-return":     "servers die and are back at the end under their names, cold",
+	"address-taken":   "servers die; their addresses answer at once as new ones of other names",
+	"zone-lost":       "all servers and relays of a zone die, and are back, cold, at the end",
+	"zone-cut":        "nothing passes between one zone and the others",
+	"discovery-late":  "each change of the list is told that much later (factor, in seconds)",
+	"discovery-down":  "watches end and none can be opened",
+	"discovery-lying": "the list leaves out that share of the servers, though they serve",
+	"discovery-back":  "the list counts its versions anew from 1, at the start",
+	"relay-kill":      "relays are killed, and come back",
+	"relay-restart":   "relays are stopped by SIGTERM, and come back",
+	"reload":          "relays are given another address of discovery",
+	"wave":            "that share of the clients lose their connections at once",
+	"burst":           "new clients come at that multiple of the rate (factor)",
+}
+
+// Known are the names of the policies.
+var Known = []string{"module", "random", "round-robin", "least", "two", "sight"}
+
+// Bounds on an experiment's size, against a slip that takes the machine down.
+const (
+	mostServers = 20000
+	mostRelays  = 2000
+	mostClients = 5e6
+)
+
+// Read reads an experiment file.
+func Read(path string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("experiment: %w", err)
+	}
+	x, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	return x, nil
+}
+
+// Parse reads an experiment, fills in what is left out and checks the whole.
+func Parse(text []byte) (*Experiment, error) {
+	x := Default()
+	if err := operator.Strict(text, x); err != nil {
+		return nil, err
+	}
+	if err := x.Complete(); err != nil {
+		return nil, fmt.Errorf(" %w", err)
+	}
+	return x, nil
+}
+
+// Default is what holds where a file is silent.
+func Default() *Experiment {
+	return &Experiment{Name: "unnamed", Seed: 1, Length: 30000, Warm: 3000,
+		Relays:  Relays{Count: 2, Back: 1000, FrontNotice: 2000, Tries: 3, MaxBack: 1000, Probes: true},
+		Network: Network{Delay: 0.2, Jitter: 0.2, Split: 0.01},
+		Fleet: Fleet{Servers: 10, Zones: 1, Cores: 4, SpeedSpread: 0.1, SetupWork: 4, Reports: 200, Noise: 0.02,
+			ColdFrom: 0.2, Cold: 9000, TipMultiple: 3, Fall: 2000, Down: 5000}}
+}
+
+// Complete fills in each traffic and fault, and names the first field that is out of bounds.
+func (x *Experiment) Complete() error {
+	if len(x.Variants) == 0 {
+		x.Variants = []string{Known[0]}
+	}
+	for _, v := range x.Variants {
+		if !slices.Contains(Known, v) {
+			return fmt.Errorf("variants: one of %s expected, got %q", strings.Join(Known, ", "), v)
+		}
+	}
+	f := &x.Fleet
+	checks := []check{
+		{"length", float64(x.Length), 1000, 3.6e6}, {"warm", float64(x.Warm), 0, float64(x.Length) - 1000},
+		{"relays.count", float64(x.Relays.Count), 1, mostRelays},
+		{"relays.back", float64(x.Relays.Back), 1, 3.6e6},
+		{"relays.front-notice", float64(x.Relays.FrontNotice), 0, 3.6e6},
+		{"relays.sockets", float64(x.Relays.Sockets), 0, 1e6},
+		{"relays.most-setup-tries", float64(x.Relays.Tries), 1, 100},
+		{"relays.max-retry-after", float64(x.Relays.MaxBack), 0, 60000},
+		{"network.delay", float64(x.Network.Delay), 0.01, 1000},
+		{"network.jitter", float64(x.Network.Jitter), 0, 1000}, {"network.split", x.Network.Split, 0, 1},
+		{"fleet.servers", float64(f.Servers), 1, mostServers},
+		{"fleet.zones", float64(f.Zones), 1, float64(min(f.Servers, 26))}, {"fleet.cores", f.Cores, 0.01, 1024},
+		{"fleet.speed-spread", f.SpeedSpread, 0, 0.9}, {"fleet.setup-work", float64(f.SetupWork), 0, 10000},
+		{"fleet.store-rate", f.StoreRate, 0, 1e6}, {"fleet.reports", float64(f.Reports), 0, 60000},
+		{"fleet.noise", f.Noise, 0, 1}, {"fleet.cold-from", f.ColdFrom, 0.01, 1},
+		{"fleet.cold", float64(f.Cold), 0, 3.6e6}, {"fleet.tip-multiple", f.TipMultiple, 0.1, 1000},
+		{"fleet.fall", float64(f.Fall), 100, 60000}, {"fleet.down", float64(f.Down), 100, 3.6e6},
+	}
+	clients := 0.0
+	for i := range x.Traffic {
+		t := &x.Traffic[i]
+		t.fill(i)
+		clients += float64(t.Standing) + t.Rate*float64(x.Length)/1000
+		at := fmt.Sprintf("traffic.%d.", i)
+		if !slices.Contains([]string{"replayable", "referenced", "single-use"}, t.Effect) {
+			return fmt.Errorf("%seffect: replayable, referenced or single-use expected, got %q", at, t.Effect)
+		}
+		for _, name := range []struct{ field, value string }{{"category", t.Category}, {"party", t.Party}} {
+			if strings.ContainsFunc(name.value, func(r rune) bool { return r <= ' ' || r > '~' || r == ',' || r == '=' }) {
+				return fmt.Errorf("%s%s: a name of plain letters expected, got %q", at, name.field, name.value)
+			}
+		}
+		checks = append(checks, check{at + "gain", t.Gain, 0.001, 1e6},
+			check{at + "promised", float64(t.Promised), 1, 60000},
+			check{at + "hard-limit", float64(t.HardLimit), float64(t.Promised), 60000},
+			check{at + "rate", t.Rate, 0, 1e6}, check{at + "standing", float64(t.Standing), 0, 1e6},
+			check{at + "life", float64(t.Life), 100, 3.6e6}, check{at + "load", t.Load, 0, 1e6},
+			check{at + "load-spread", t.LoadSpread, 0, 3}, check{at + "every", float64(t.Every), 10, 60000},
+			check{at + "groups", float64(t.Groups), 0, 1e6}, check{at + "honours-busy", t.HonoursMS, 0, 1},
+			check{at + "retry", float64(t.Retry), 1, 60000})
+	}
+	checks = append(checks, check{"traffic: clients in all", clients, 1, mostClients})
+	for i := range x.Faults {
+		t := &x.Faults[i]
+		t.fill()
+		at := fmt.Sprintf("fault.%d.", i)
+		if Kinds[t.Kind] == "" {
+			return fmt.Errorf("%skind: no such kind: %q", at, t.Kind)
+		}
+		checks = append(checks, check{at + "at", float64(t.At), 0, float64(x.Length)},
+			check{at + "for", float64(t.For), 0, float64(x.Length)}, check{at + "share", t.Share, 0, 1},
+			check{at + "factor", t.Factor, 0, 1000})
+	}
+	for _, c := range checks {
+		if !(c.value >= c.least && c.value <= c.most) {
+			return fmt.Errorf("%s: from %v to %v expected, got %v", c.field, c.least, c.most, c.value)
+		}
+	}
+	return nil
+}
+
+type check struct {
+	field       string
+	value       float64
+	least, most float64
+}
+
+func (t *Traffic) fill(i int) {
+	t.Category = cmp.Or(t.Category, fmt.Sprintf("kind%d", i))
+	t.Party = cmp.Or(t.Party, "all")
+	t.Effect = cmp.Or(t.Effect, "replayable")
+	t.Gain = cmp.Or(t.Gain, 1)
+	t.Promised = cmp.Or(t.Promised, 500)
+	t.HardLimit = cmp.Or(t.HardLimit, max(2000, t.Promised))
+	t.Life = cmp.Or(t.Life, 20000)
+	t.Load = cmp.Or(t.Load, 10)
+	t.Every = cmp.Or(t.Every, 2000)
+	t.Retry = cmp.Or(t.Retry, 200)
+}
+
+func (f *Fault) fill() {
+	f.Share = cmp.Or(f.Share, 0.2)
+	f.For = cmp.Or(f.For, 5000)
+	if f.Factor == 0 {
+		switch f.Kind {
+		case "slow", "neighbour":
+			f.Factor = 0.4
+		case "slow-store":
+			f.Factor = 0.2
+		case "discovery-late":
+			f.Factor = 2
+		case "burst":
+			f.Factor = 3
+		}
+	}
+}
+
+// Zone names a zone by its number.
+func Zone(n int) string { return string(rune('a' + n)) }
--- /dev/null
+++ b/internal/lab/model/server.go
@@ -0,0 +1,443 @@
+package model
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand"
+	"strconv"
+
+	"valeshift/internal/lines"
+)
+
+// Store is the session store that all servers share: set-ups go through it one after the other.
+type Store struct {
+	rate   float64 // a second; 0: takes no time
+	factor float64
+	free   float64 // when it is done with all that was given to it
+}
+
+// NewStore takes how many set-ups a second it bears; 0: any.
+func NewStore(rate float64) *Store { return &Store{rate: rate, factor: 1} }
+
+// Slow has it work at that part of its rate from now on; what was given to it before is not done later.
+func (s *Store) Slow(factor float64) { s.factor = factor }
+
+// take gives it one set-up and tells when that is done.
+func (s *Store) take(now float64) float64 {
+	if s.rate <= 0 {
+		return now
+	}
+	s.free = max(s.free, now) + 1000/(s.rate*s.factor)
+	return s.free
+}
+
+// Make is what a server is made of.
+type Make struct {
+	Name, Address, Zone string
+	Cores, Speed        float64
+	SetupWork           float64 // of one core, in milliseconds
+	Reports, Noise      float64 // age a report may reach; relative deviation
+	ColdFrom, Cold      float64
+	TipMultiple, Fall   float64
+	Down                float64
+}
+
+// Server is one server: its links' lines and set-ups share its cores evenly, each on one core at most.
+type Server struct {
+	Make
+	host   Host
+	watch  Witness
+	store  *Store
+	chance *rand.Rand
+	// Changed, where set, is called when the server has died or is back by itself.
+	Changed func()
+
+	Since    float64 // clock time of its start; 0: long ago
+	Draining bool
+	Dead     bool
+	slow     float64 // part of its speed
+	stolen   float64 // part of its cores
+	still    bool
+
+	conns  map[uint64]*session
+	last   float64 // when work was last reckoned
+	served float64 // work that each job has had by then: a clock that runs slower the more share it
+	jobs   jobs
+	turn   int // of the look that is due; former ones do nothing
+
+	offered, busyAt float64 // demand smoothed over a second, in cores
+	report          [3]float64
+	reportAt        float64
+	pushed          []push  // loads sent while cold
+	Links           int     // that stand
+	Demand          float64 // of those, in cores
+	Fallen          int     // times it was pushed over while cold
+}
+
+type push struct{ at, load float64 }
+
+type session struct {
+	conn     uint64
+	id       string
+	in       lines.Splitter
+	stands   bool
+	trying   bool
+	load     float64
+	every    float64
+	said     int
+	got      int
+	lines    int // whose work waits or is done now
+	mayServe bool
+}
+
+// job is work on the server's cores.
+type job struct {
+	ends float64 // on the served clock
+	seq  int
+	done func()
+}
+
+type jobs struct {
+	all []job
+	seq int
+}
+
+func (j *jobs) Len() int { return len(j.all) }
+func (j *jobs) Less(a, b int) bool {
+	return j.all[a].ends < j.all[b].ends || (j.all[a].ends == j.all[b].ends && j.all[a].seq < j.all[b].seq)
+}
+func (j *jobs) Swap(a, b int) { j.all[a], j.all[b] = j.all[b], j.all[a] }
+func (j *jobs) Push(x any)    { j.all = append(j.all, x.(job)) }
+func (j *jobs) Pop() any {
+	x := j.all[len(j.all)-1]
+	j.all[len(j.all)-1] = job{}
+	j.all = j.all[:len(j.all)-1]
+	return x
+}
+
+// NewServer starts a server that has run for long.
+func NewServer(m Make, host Host, watch Witness, store *Store, chance *rand.Rand) *Server {
+	return &Server{Make: m, host: host, watch: watch, store: store, chance: chance, slow: 1,
+		conns: map[uint64]*session{}, last: host.Now(), busyAt: host.Now(), reportAt: math.Inf(-1)}
+}
+
+// warm is the part of its capacity that the server has by now.
+func (s *Server) warm(now float64) float64 {
+	if s.Since <= 0 || s.Cold <= 0 {
+		return 1
+	}
+	return min(1, s.ColdFrom+(1-s.ColdFrom)*max(0, now-s.Since)/s.Cold)
+}
+
+// Capacity is what the server can do now, in cores of speed one.
+func (s *Server) Capacity(now float64) float64 {
+	return s.Cores * (1 - s.stolen) * s.Speed * s.slow * s.warm(now)
+}
+
+// rate is how much work one job gets in a millisecond.
+func (s *Server) rate(now float64) float64 {
+	n := float64(len(s.jobs.all))
+	if n == 0 || s.still {
+		return 0
+	}
+	return min(s.Speed*s.slow*s.warm(now), s.Capacity(now)/n)
+}
+
+// advance reckons the work done since the last look.
+func (s *Server) advance() {
+	now := s.host.Now()
+	s.served += (now - s.last) * s.rate(now)
+	s.last = now
+}
+
+// plan looks again when the first job is done.
+func (s *Server) plan() {
+	s.turn++
+	if len(s.jobs.all) == 0 || s.still {
+		return
+	}
+	turn := s.turn
+	// A cold server grows faster meanwhile; then the look comes a little late, which is made up for there.
+	// Against a look that is due sooner than the clock can tell, no wait is shorter than a microsecond.
+	wait := max((s.jobs.all[0].ends-s.served)/max(s.rate(s.host.Now()), 1e-9), 0.001)
+	s.host.After(min(wait, 1000), func() {
+		if turn == s.turn {
+			s.settle()
+		}
+	})
+}
+
+// settle ends the jobs that are done.
+func (s *Server) settle() {
+	s.advance()
+	for len(s.jobs.all) > 0 && s.jobs.all[0].ends <= s.served+1e-9 {
+		heap.Pop(&s.jobs).(job).done()
+	}
+	s.plan()
+}
+
+func (s *Server) work(amount float64, done func()) {
+	s.advance()
+	s.jobs.seq++
+	heap.Push(&s.jobs, job{s.served + amount, s.jobs.seq, done})
+	s.offer(amount)
+	s.plan()
+}
+
+// offer takes demand into the smoothed figure.
+func (s *Server) offer(amount float64) {
+	now := s.host.Now()
+	s.offered = s.offered*math.Exp((s.busyAt-now)/1000) + amount/1000
+	s.busyAt = now
+}
+
+// Util is the demand of about the last second, as a part of the server's full capacity at its present speed.
+func (s *Server) Util(now float64) float64 {
+	capacity := max(s.Capacity(now), 1e-6)
+	return s.offered * math.Exp((s.busyAt-now)/1000) / capacity
+}
+
+// Slowed sets the part of its speed, Stolen the part of its cores that others take, Still whether it works.
+func (s *Server) Slowed(part float64) { s.advance(); s.slow = part; s.plan() }
+
+// Stolen sets the part of its cores that somebody else takes.
+func (s *Server) Stolen(part float64) { s.advance(); s.stolen = part; s.plan() }
+
+// Still has it stand still, or work again.
+func (s *Server) Still(still bool) { s.advance(); s.still = still; s.plan() }
+
+// Reset breaks all connections.
+func (s *Server) Reset() {
+	for _, conn := range sorted(s.conns) {
+		s.drop(s.conns[conn], true)
+	}
+}
+
+// Die ends all that the server has and does.
+func (s *Server) Die() {
+	s.advance()
+	s.Reset()
+	s.jobs.all, s.Dead = nil, true
+	s.offered = 0
+	s.turn++
+}
+
+// Start has a server that died serve again, cold.
+func (s *Server) Start() {
+	now := s.host.Now()
+	s.Dead, s.Since, s.last, s.pushed, s.still = false, now, now, nil, false
+	s.reportAt = math.Inf(-1)
+}
+
+// drop ends a connection from this side.
+func (s *Server) drop(c *session, broken bool) {
+	if broken {
+		s.host.Break(c.conn)
+	} else {
+		s.host.End(c.conn)
+	}
+	if c.stands {
+		s.watch.Closed(s.host.Now(), c.id, s.Name)
+	}
+	s.forget(c)
+}
+
+func (s *Server) forget(c *session) {
+	delete(s.conns, c.conn)
+	if c.trying {
+		c.trying = false
+		s.watch.TryOver(s.host.Now(), c.id, s.Name)
+	}
+	if c.stands {
+		s.Links--
+		s.Demand -= c.load / 1000
+	}
+	c.stands, c.mayServe = false, false
+}
+
+// Opened takes a connection in.
+func (s *Server) Opened(conn uint64) { s.conns[conn] = &session{conn: conn} }
+
+// Up is not called: servers dial nobody.
+func (s *Server) Up(uint64) {}
+
+// Over takes that the relay has ended a connection.
+func (s *Server) Over(conn uint64, _ bool) {
+	if c := s.conns[conn]; c != nil {
+		s.forget(c)
+	}
+}
+
+// Came takes bytes.
+func (s *Server) Came(conn uint64, data []byte) {
+	for {
+		c := s.conns[conn]
+		if c == nil {
+			return
+		}
+		line, rest, err := c.in.Next(data)
+		if err != nil {
+			s.drop(c, true)
+			return
+		}
+		if line == nil {
+			return
+		}
+		data = rest
+		s.line(c, line)
+	}
+}
+
+func (s *Server) line(c *session, line []byte) {
+	verb, rest := lines.Verb(line)
+	switch {
+	case c.id != "" && c.stands:
+		s.served1(c, rest)
+	case string(verb) == "STATS" || string(verb) == "PING":
+		s.probe(c)
+	case string(verb) == "OPEN" && c.id == "":
+		s.open(c, line)
+	default:
+		s.say(c, "ERR\r\n")
+		s.drop(c, false)
+	}
+}
+
+func (s *Server) say(c *session, text string) { s.host.Write(c.conn, []byte(text)) }
+
+// probe answers with the figures of the last report, which is made anew when it is too old.
+func (s *Server) probe(c *session) {
+	now := s.host.Now()
+	if now >= s.reportAt+s.Reports {
+		s.reportAt = now
+		util := max(s.Util(now)*(1+s.Noise*s.chance.NormFloat64()), 0)
+		s.report = [3]float64{min(util, 1), float64(s.Links), util}
+	}
+	answer := func() {
+		if s.conns[c.conn] == c {
+			s.say(c, fmt.Sprintf("PONG cpu=%.4f,rps=%g,x0=%.4f\r\n", s.report[0], s.report[1], s.report[2]))
+		}
+	}
+	if s.still {
+		s.work(0.01, answer)
+		return
+	}
+	answer()
+}
+
+// open takes a link's head.
+func (s *Server) open(c *session, line []byte) {
+	now := s.host.Now()
+	head, err := lines.ReadHead(line)
+	if err != nil {
+		s.say(c, "SYNTAX\r\n")
+		s.drop(c, false)
+		return
+	}
+	c.id = string(head.ID)
+	c.load, c.every = weight(line)
+	c.trying, c.mayServe = true, true
+	capacity, cold := s.Capacity(now), s.warm(now) < 1
+	s.watch.TryCame(now, c.id, s.Name, cold, capacity, c.load/1000)
+	if s.Draining {
+		s.say(c, "BUSY\r\n")
+		s.drop(c, false)
+		return
+	}
+	if cold && s.push(now, c.load/1000, capacity) {
+		return
+	}
+	s.work(s.SetupWork, func() {
+		if c.mayServe {
+			s.host.After(s.store.take(s.host.Now())-s.host.Now(), func() { s.stand(c) })
+		}
+	})
+}
+
+// push counts what a cold server is sent; pushed over, it falls.
+func (s *Server) push(now, load, capacity float64) bool {
+	s.pushed = append(s.pushed, push{now, load})
+	sum := 0.0
+	kept := s.pushed[:0]
+	for _, p := range s.pushed {
+		if p.at > now-s.Fall {
+			kept, sum = append(kept, p), sum+p.load
+		}
+	}
+	s.pushed = kept
+	if len(kept) < 2 || sum <= s.TipMultiple*capacity {
+		return false
+	}
+	s.Die()
+	s.Fallen++
+	s.host.After(s.Down, func() {
+		if s.Dead {
+			s.Start()
+			s.Changed()
+		}
+	})
+	s.Changed()
+	return true
+}
+
+// weight reads what a link weighs, in thousandths of a core, and after how many milliseconds its lines come:
+// the lab's clients say so in their heads, as w and e, which relays pass on unread.
+func weight(head []byte) (load, every float64) {
+	list := head[bytes.LastIndexByte(head, ' ')+1:]
+	for pair := range bytes.SplitSeq(lines.Bare(list), []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		switch string(name) {
+		case "w":
+			load, _ = strconv.ParseFloat(string(value), 64)
+		case "e":
+			every, _ = strconv.ParseFloat(string(value), 64)
+		}
+	}
+	return load, every
+}
+
+func (s *Server) stand(c *session) {
+	if !c.mayServe || c.stands {
+		return
+	}
+	now := s.host.Now()
+	s.watch.Took(now, c.id, s.Name)
+	c.trying = false
+	s.watch.TryOver(now, c.id, s.Name)
+	c.stands = true
+	s.Links++
+	s.Demand += c.load / 1000
+	s.host.Write(c.conn, strconv.AppendFloat([]byte("UP receipt\r\nLOAD "), math.Round(c.load*1000), 'f', 0, 64))
+	s.say(c, "\r\n")
+}
+
+// served1 takes a client's line, and answers once its work is done. Against work without end, lines that come
+// while several of the link wait cost nothing more.
+func (s *Server) served1(c *session, rest []byte) {
+	now := s.host.Now()
+	number, said, _ := bytes.Cut(rest, []byte(" "))
+	n, _ := strconv.Atoi(string(number))
+	at, _ := strconv.ParseFloat(string(said), 64)
+	c.got++
+	s.watch.Got(now, c.id, false, n, at)
+	amount := c.load / 1000 * c.every
+	if c.lines >= 3 {
+		amount = 0
+	}
+	c.lines++
+	s.work(amount, func() {
+		c.lines--
+		if !c.stands {
+			return
+		}
+		c.said++
+		text := append(make([]byte, 0, 48), "R "...)
+		text = strconv.AppendInt(text, int64(c.said), 10)
+		text = strconv.AppendFloat(append(text, ' '), s.host.Now(), 'f', 3, 64)
+		text = strconv.AppendInt(append(text, ' '), int64(n), 10)
+		s.watch.Said(s.host.Now(), c.id, true, c.said)
+		s.host.Write(c.conn, append(text, "\r\n"...))
+	})
+}
--- /dev/null
+++ b/internal/lab/model/tally.go
@@ -0,0 +1,82 @@
+package model
+
+import (
+	"math"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Second is what was counted in one second of a run.
+type Second struct {
+	Wanted, Served              float64 // gain of lines that clients meant to send, and that were answered in time
+	Setups, Rejected, Errored   int     // answers
+	Unanswered, Cut, Standing   int
+	Spread, MeanUtil, WorstUtil float64 // of the servers that serve
+}
+
+// Tally is what a run came to, as clients saw it.
+type Tally struct {
+	Start   float64
+	Seconds []Second
+	Setup   map[string]*hdrhistogram.Histogram // by category, microseconds from when the link was meant to come
+	Line    map[string]*hdrhistogram.Histogram // from when the line was meant to go
+	Heads   int                                // links asked for
+	Answers map[string]int                     // by verb, with "none" and "cut"
+	Pushed  int                                // times a cold server fell over
+	Behind  float64                            // the most that the lab was late with what it meant to do
+}
+
+const longestSeen = 60_000_000 // microseconds
+
+// NewTally starts to count.
+func NewTally(start float64, categories []string) *Tally {
+	t := &Tally{Start: start, Setup: map[string]*hdrhistogram.Histogram{},
+		Line: map[string]*hdrhistogram.Histogram{}, Answers: map[string]int{}}
+	for _, c := range categories {
+		t.Setup[c] = hdrhistogram.New(1, longestSeen, 3)
+		t.Line[c] = hdrhistogram.New(1, longestSeen, 3)
+	}
+	return t
+}
+
+// at is the second that a time falls in.
+func (t *Tally) at(now float64) *Second {
+	i := max(int((now-t.Start)/1000), 0)
+	for len(t.Seconds) <= i {
+		t.Seconds = append(t.Seconds, Second{})
+	}
+	return &t.Seconds[i]
+}
+
+func record(h *hdrhistogram.Histogram, ms float64) {
+	h.RecordValue(int64(min(max(ms*1000, 1), longestSeen)))
+}
+
+// Service is the part of the wanted gain that was served between two times of the run; 1 where none was wanted.
+func (t *Tally) Service(from, to float64) float64 {
+	wanted, served := 0.0, 0.0
+	for i, s := range t.Seconds {
+		if at := float64(i) * 1000; at >= from && at < to {
+			wanted, served = wanted+s.Wanted, served+s.Served
+		}
+	}
+	if wanted == 0 {
+		return 1
+	}
+	return served / wanted
+}
+
+// Recovered tells how long after a time of the run service is back for good within that part of what it was
+// before; infinite where it never is.
+func (t *Tally) Recovered(before, after, part float64) float64 {
+	was := t.Service(max(before-5000, 0), before)
+	last := math.Inf(1)
+	for i := len(t.Seconds) - 1; i >= int(after/1000); i-- {
+		s := t.Seconds[i]
+		if s.Wanted > 0 && s.Served < (1-part)*was*s.Wanted {
+			break
+		}
+		last = max(float64(i)*1000-after, 0)
+	}
+	return last
+}
--- /dev/null
+++ b/internal/lab/sim/relay.go
@@ -0,0 +1,226 @@
+package sim
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"valeshift/internal/lab/model"
+	"valeshift/internal/relay"
+)
+
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// Brain is what a relay runs on: its reducer, or one with something wrong about it.
+type Brain interface {
+	Take(now float64, e relay.Event) []relay.Effect
+}
+
+// process is one life of a relay: it carries the reducer's effects out on the simulated network, as Sockets
+// does on real ones.
+type process struct {
+	*node
+	number int
+	brain  Brain
+	list   *model.Catalogue
+	watch  model.Witness
+	exit   func()
+	conns  map[uint64]uint64 // the node's own numbers by the reducer's, and back
+	back   map[uint64]uint64
+	count  uint64 // of clients taken in
+	alarm  uint64
+	follow *follower
+	told   map[string]bool
+	over   bool
+	taking bool
+	due    []relay.Event
+}
+
+func newProcess(d *node, number int, brain Brain, list *model.Catalogue, watch model.Witness,
+	exit func()) *process {
+	p := &process{node: d, number: number, brain: brain, list: list, watch: watch, exit: exit,
+		conns: map[uint64]uint64{}, back: map[uint64]uint64{}, told: map[string]bool{}}
+	d.actor, d.refuse, d.closed = p, false, false
+	return p
+}
+
+// take gives the reducer one event and carries out what follows; what comes of that waits its turn.
+func (p *process) take(e relay.Event) {
+	p.due = append(p.due, e)
+	if p.taking {
+		return
+	}
+	p.taking = true
+	for len(p.due) > 0 && !p.over {
+		e := p.due[0]
+		p.due = p.due[1:]
+		for _, f := range p.brain.Take(p.net.now, e) {
+			p.carry(f)
+		}
+	}
+	p.taking = false
+}
+
+func (p *process) carry(f relay.Effect) {
+	if p.over {
+		return
+	}
+	switch f.Do {
+	case relay.Dial:
+		p.last++
+		p.conns[f.Conn], p.back[p.last] = p.last, f.Conn
+		p.dial(p.last, f.Text)
+	case relay.Write:
+		size := 0
+		for _, part := range f.Parts {
+			size += len(part)
+		}
+		all := make([]byte, 0, size)
+		for _, part := range f.Parts {
+			all = append(all, part...)
+		}
+		if conn, open := p.conns[f.Conn]; open {
+			p.write(conn, all)
+		}
+	case relay.End, relay.Break:
+		if conn, open := p.conns[f.Conn]; open {
+			p.end(conn, f.Do == relay.Break)
+			delete(p.conns, f.Conn)
+			delete(p.back, conn)
+		}
+	case relay.Arm:
+		p.alarm++
+		alarm := p.alarm
+		p.net.after(f.At-p.net.now, func() {
+			if p.alarm == alarm && !p.over {
+				p.take(relay.Event{Kind: relay.Tick})
+			}
+		})
+	case relay.Watch:
+		p.unwatch()
+		w := &follower{p: p, number: f.Conn}
+		p.follow = w
+		p.net.after(p.net.way(), func() {
+			if p.follow == w {
+				w.id = p.list.Watch(f.After, w)
+			}
+		})
+	case relay.Unwatch:
+		p.unwatch()
+	case relay.Hold:
+		p.closed = true
+	case relay.Free:
+		p.closed = false
+		p.net.after(0, p.acceptWaiting)
+	case relay.Note:
+		if p.net.trace != nil {
+			p.net.tell("%s note %s %v", p.address, f.Text, f.Args)
+		}
+	case relay.Quit:
+		p.net.after(1, func() {
+			if !p.over {
+				p.stop(false)
+				p.exit()
+			}
+		})
+	}
+}
+
+func (p *process) unwatch() {
+	if p.follow != nil {
+		p.list.Unwatch(p.follow.id)
+		p.follow = nil
+	}
+}
+
+// stop ends the process: what it had is closed by the kernel.
+func (p *process) stop(killed bool) {
+	p.over = true
+	p.unwatch()
+	p.refuse = true
+	for _, conn := range sorted(p.ends) {
+		p.end(conn, killed)
+	}
+}
+
+func (p *process) acceptWaiting() {
+	for _, conn := range sorted(p.ends) {
+		if s := p.ends[conn]; s != nil && !s.taken && s.other != nil && p.back[conn] == 0 && !p.closed && !p.over {
+			s.accept()
+		}
+	}
+}
+
+// Opened, Up, Came and Over are what the network tells.
+func (p *process) Opened(conn uint64) {
+	p.count++
+	p.conns[p.count], p.back[conn] = conn, p.count
+	p.take(relay.Event{Kind: relay.Opened, Conn: p.count})
+}
+
+// Up tells that a dial is up.
+func (p *process) Up(conn uint64) { p.take(relay.Event{Kind: relay.Up, Conn: p.back[conn]}) }
+
+// Came tells bytes.
+func (p *process) Came(conn uint64, data []byte) {
+	p.take(relay.Event{Kind: relay.Came, Conn: p.back[conn], Data: data})
+}
+
+// Over tells an end from the other side.
+func (p *process) Over(conn uint64, broken bool) {
+	of := p.back[conn]
+	delete(p.back, conn)
+	delete(p.conns, of)
+	p.take(relay.Event{Kind: relay.Over, Conn: of, Broken: broken})
+}
+
+// follower is one watch: what it tells arrives in order.
+type follower struct {
+	p      *process
+	number uint64
+	id     uint64
+	arrive float64
+}
+
+func (w *follower) tell(do func()) {
+	w.arrive = max(w.arrive, w.p.net.now+w.p.net.way())
+	w.p.net.after(w.arrive-w.p.net.now, func() {
+		if w.p.follow == w && !w.p.over {
+			do()
+		}
+	})
+}
+
+// News brings the list or its changes.
+func (w *follower) News(n *relay.News) {
+	w.tell(func() {
+		p := w.p
+		seen := map[string]bool{}
+		for _, e := range n.Entries {
+			p.told[e.Name], seen[e.Name] = true, true
+			p.watch.Told(p.net.now, p.number, e.Name, e.Status, e.Since)
+		}
+		if n.Whole {
+			for _, name := range sorted(p.told) {
+				if !seen[name] {
+					p.watch.Told(p.net.now, p.number, name, "left", 0)
+				}
+			}
+		}
+		p.net.tell("%s news %d of %d", p.address, len(n.Entries), n.Index)
+		p.take(relay.Event{Kind: relay.ListNews, Conn: w.number, News: n})
+	})
+}
+
+// Heard brings an empty line.
+func (w *follower) Heard() {
+	w.tell(func() { w.p.take(relay.Event{Kind: relay.ListHeard, Conn: w.number}) })
+}
+
+// Failed brings the watch's end.
+func (w *follower) Failed(err error) {
+	w.tell(func() {
+		w.p.follow = nil
+		w.p.take(relay.Event{Kind: relay.ListFailed, Conn: w.number, Err: err})
+	})
+}
--- /dev/null
+++ b/internal/lab/sim/spoil_test.go
@@ -0,0 +1,226 @@
+package sim
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"valeshift/internal/lab/audit"
+	"valeshift/internal/relay"
+)
+
+// spoiled puts something wrong between the network and a reducer.
+type spoiled struct {
+	Brain
+	before func(e relay.Event) relay.Event
+	after  func(all []relay.Effect) []relay.Effect
+}
+
+func (s *spoiled) Take(now float64, e relay.Event) []relay.Effect {
+	if s.before != nil {
+		e = s.before(e)
+	}
+	all := s.Brain.Take(now, e)
+	if s.after != nil {
+		all = s.after(slices.Clone(all))
+	}
+	return all
+}
+
+// each changes effects one by one.
+func each(change func(f relay.Effect) []relay.Effect) func([]relay.Effect) []relay.Effect {
+	return func(all []relay.Effect) (out []relay.Effect) {
+		for _, f := range all {
+			out = append(out, change(f)...)
+		}
+		return out
+	}
+}
+
+func text(f relay.Effect) string { return string(bytes.Join(f.Parts, nil)) }
+
+func toClient(f relay.Effect) bool { return f.Do == relay.Write && f.Conn < 1<<63 }
+
+const twoFree = 1 << 62 // numbers that no reducer gives
+
+// Each relay here is broken on purpose, and the auditor must say in what way.
+func TestAuditorCatchesBrokenRelays(t *testing.T) {
+	const trouble = calm + `
+[[fault]]
+kind = "drain"
+at = "6s"
+for = "8s"
+share = 0.5
+[[fault]]
+kind = "growth"
+at = "5s"
+share = 0.25
+`
+	for _, c := range []struct {
+		name  string
+		rule  audit.Rule
+		says  string
+		spoil func() *spoiled
+	}{
+		{"answers twice", audit.FinalAnswer, "BUSY after UP", func() *spoiled {
+			return &spoiled{after: each(func(f relay.Effect) []relay.Effect {
+				if toClient(f) && strings.HasPrefix(text(f), "UP") {
+					return []relay.Effect{f, {Do: relay.Write, Conn: f.Conn, Parts: [][]byte{[]byte("BUSY 5\r\n")}}}
+				}
+				return []relay.Effect{f}
+			})}
+		}},
+		{"says nothing", audit.FinalAnswer, "no answer", func() *spoiled {
+			n := 0
+			return &spoiled{after: each(func(f relay.Effect) []relay.Effect {
+				if toClient(f) && strings.HasPrefix(text(f), "UP") {
+					if n++; n%20 == 0 {
+						return nil
+					}
+				}
+				return []relay.Effect{f}
+			})}
+		}},
+		{"ends without a word", audit.FinalAnswer, "ended without an answer", func() *spoiled {
+			n := 0
+			return &spoiled{after: each(func(f relay.Effect) []relay.Effect {
+				if toClient(f) && strings.HasPrefix(text(f), "UP") {
+					if n++; n%20 == 0 {
+						return []relay.Effect{{Do: relay.End, Conn: f.Conn}}
+					}
+				}
+				return []relay.Effect{f}
+			})}
+		}},
+		{"makes answers up", audit.FinalAnswer, "UP that no server said", func() *spoiled {
+			return &spoiled{}
+		}},
+		{"sends two tries", audit.Twice, "out at once", func() *spoiled {
+			var dialed []string
+			second := map[uint64]uint64{}
+			next := uint64(twoFree)
+			s := &spoiled{}
+			s.after = each(func(f relay.Effect) []relay.Effect {
+				switch {
+				case f.Do == relay.Dial:
+					dialed = append(dialed, f.Text)
+					next++
+					second[f.Conn] = next
+					return []relay.Effect{f, {Do: relay.Dial, Conn: next, Text: dialed[len(dialed)/2]}}
+				case f.Do == relay.Write && strings.HasPrefix(text(f), "OPEN"):
+					return []relay.Effect{f, {Do: relay.Write, Conn: second[f.Conn], Parts: f.Parts}}
+				}
+				return []relay.Effect{f}
+			})
+			return s
+		}},
+		{"ignores drains", audit.Drain, "leaving for", func() *spoiled {
+			return &spoiled{before: func(e relay.Event) relay.Event {
+				if e.Kind == relay.ListNews {
+					news := *e.News
+					news.Entries = slices.Clone(news.Entries)
+					for i := range news.Entries {
+						news.Entries[i].Status = "active"
+					}
+					e.News = &news
+				}
+				return e
+			}}
+		}},
+		{"takes cold servers for warm", audit.Cold, "was sent", func() *spoiled {
+			only := ""
+			return &spoiled{before: func(e relay.Event) relay.Event {
+				if e.Kind == relay.ListNews {
+					news := *e.News
+					news.Entries = slices.Clone(news.Entries)
+					for i := range news.Entries {
+						if news.Entries[i].Since > 0 {
+							news.Entries[i].Since, only = 0, news.Entries[i].Address
+						}
+					}
+					e.News = &news
+				}
+				return e
+			}, after: each(func(f relay.Effect) []relay.Effect {
+				if f.Do == relay.Dial && only != "" {
+					f.Text = only
+				}
+				return []relay.Effect{f}
+			})}
+		}},
+		{"loses lines", audit.Lines, "lost before", func() *spoiled {
+			n := 0
+			return &spoiled{after: each(func(f relay.Effect) []relay.Effect {
+				if toClient(f) && strings.HasPrefix(text(f), "R ") {
+					if n++; n%50 == 0 {
+						return nil
+					}
+				}
+				return []relay.Effect{f}
+			})}
+		}},
+		{"doubles lines", audit.Lines, "came again", func() *spoiled {
+			n := 0
+			return &spoiled{after: each(func(f relay.Effect) []relay.Effect {
+				if f.Do == relay.Write && strings.HasPrefix(text(f), "M ") {
+					if n++; n%50 == 0 {
+						return []relay.Effect{f, f}
+					}
+				}
+				return []relay.Effect{f}
+			})}
+		}},
+		{"cuts links off", audit.Lines, "cut off without MOVE", func() *spoiled {
+			n := 0
+			return &spoiled{after: each(func(f relay.Effect) []relay.Effect {
+				if toClient(f) && strings.HasPrefix(text(f), "R ") {
+					if n++; n%500 == 0 {
+						return []relay.Effect{f, {Do: relay.Break, Conn: f.Conn}}
+					}
+				}
+				return []relay.Effect{f}
+			})}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(parse(t, trouble), "module", nil)
+			s.Spoil = func(_ int, brain Brain) Brain {
+				broken := c.spoil()
+				broken.Brain = brain
+				if c.name == "makes answers up" {
+					broken.before, broken.after = madeUp()
+				}
+				return broken
+			}
+			r, err := s.Run()
+			require.NoError(t, err)
+			require.NotZero(t, r.Audit.Counts[c.rule], "not caught: %v", r.Audit.Counts)
+			assert.True(t, slices.ContainsFunc(r.Audit.Breaks, func(b audit.Break) bool {
+				return b.Rule == c.rule && strings.Contains(b.What, c.says)
+			}), "%v", r.Audit.Breaks[:min(len(r.Audit.Breaks), 5)])
+		})
+	}
+	whole := play(t, trouble, "module")
+	assert.Zero(t, whole.Audit.Broken(), "%v", whole.Audit.Breaks)
+}
+
+// madeUp answers each head by itself as soon as it comes.
+func madeUp() (func(e relay.Event) relay.Event, func([]relay.Effect) []relay.Effect) {
+	var conn uint64
+	return func(e relay.Event) relay.Event {
+			conn = 0
+			if e.Kind == relay.Came && bytes.HasPrefix(e.Data, []byte("OPEN")) {
+				conn = e.Conn
+			}
+			return e
+		}, func(all []relay.Effect) []relay.Effect {
+			if conn == 0 {
+				return all
+			}
+			return append([]relay.Effect{{Do: relay.Write, Conn: conn, Parts: [][]byte{[]byte("UP mine\r\n")}}}, all...)
+		}
+}
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -63,17 +63,24 @@
 func (r *Reducer) named(name string) *backend {
 	b := r.backends[name]
 	if b == nil {
-		sum := fnv.New32a()
-		sum.Write([]byte(name))
-		b = &backend{Entry: Entry{Name: name}, id: sum.Sum32()}
+		b = &backend{Entry: Entry{Name: name}, id: Number(name)}
 		for r.byID[b.id] != nil {
 			b.id++
 		}
 		r.backends[name], r.byID[b.id] = b, b
+		r.order = append(r.order, b)
 	}
 	return b
 }
 
+// Number is what the module knows a backend of that name by, unless another has the number already; then it
+// is the next that is free.
+func Number(name string) uint32 {
+	sum := fnv.New32a()
+	sum.Write([]byte(name))
+	return sum.Sum32()
+}
+
 func (r *Reducer) zone(name string) int {
 	z, known := r.zones[name]
 	if !known {
@@ -114,7 +121,7 @@
 		}
 	}
 	r.table.Balancer.ListEnded(r.now)
-	for name, b := range r.backends {
+	for _, b := range r.order {
 		if news.Whole && !named[b] {
 			b.condition = logic.Gone
 		}
@@ -129,10 +136,13 @@
 		if booked, _, _ := r.table.Balancer.View(b.id); b.condition == logic.Gone && booked == 0 {
 			// Against a fleet whose names never come again filling the memory. One with a try out stays: under
 			// the same name it may come again, and its links would be on a backend that nothing tells of.
-			delete(r.backends, name)
+			delete(r.backends, b.Name)
 			delete(r.byID, b.id)
 		}
 	}
+	if len(r.order) > len(r.backends) {
+		r.order = slices.DeleteFunc(r.order, func(b *backend) bool { return r.backends[b.Name] != b })
+	}
 }
 
 // list takes what the watch brought.
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -187,6 +187,7 @@
 
 	backends map[string]*backend
 	byID     map[uint32]*backend
+	order    []*backend // as they came, so that one seed gives one order of effects
 	source   string // address of discovery
 	untold   bool   // that is new, and has not told the list yet
 	renewing timer
@@ -206,11 +207,16 @@
 
 // New builds the relay's state from what it is told.
 func New(now float64, t *Told) (*Reducer, error) {
-	p := settings.Over(t.Settings)
-	balancer, err := p.Assemble(t.Seed)
+	balancer, err := settings.Over(t.Settings).Assemble(t.Seed)
 	if err != nil {
 		return nil, err
 	}
+	return NewOn(now, t, balancer)
+}
+
+// NewOn does so on a module that is made already.
+func NewOn(now float64, t *Told, balancer hand.Module) (*Reducer, error) {
+	p := settings.Over(t.Settings)
 	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, ids: map[string]*link{},
 		most: math.MaxInt, room: math.MaxInt,
 		dials: dialed, categories: p.Names("categories"), parties: p.Names("parties"),
