Links that wait count with the descriptor to come; probes give theirs back when short

A link now counts with both its connections from its head on. A fleet that grows brought probes' connections on top; where descriptors are short they end after each answer.

--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -278,6 +278,10 @@
 	}
 	b.asking = false
 	r.disarm(&b.probe.wait)
+	if c := b.probe; r.short() { // against probes of a fleet that grows holding what clients come by
+		b.probe = nil
+		r.forget(c, End)
+	}
 	r.table.Probed(r.now, b.id, ok, report)
 }
 
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -166,6 +166,7 @@
 	armed   float64
 	ends    map[uint64]*end
 	links   int // from their heads to their ends
+	others  int // connections of no client and no link: probes
 	most    int // sockets
 	room    int // of those, for links
 	full    bool
@@ -188,8 +189,8 @@
 	backends map[string]*backend
 	byID     map[uint32]*backend
 	order    []*backend // as they came, so that one seed gives one order of effects
-	source   string // address of discovery
-	untold   bool   // that is new, and has not told the list yet
+	source   string     // address of discovery
+	untold   bool       // that is new, and has not told the list yet
 	renewing timer
 	index    uint64
 	asked    uint64 // the version that the watch was asked from
@@ -350,6 +351,9 @@
 
 func (r *Reducer) add(c *end) *end {
 	r.ends[c.conn] = c
+	if c.link == nil {
+		r.others++
+	}
 	r.Open = len(r.ends)
 	r.Most = max(r.Most, r.Open)
 	return c
@@ -362,6 +366,9 @@
 	}
 	r.disarm(&c.wait)
 	delete(r.ends, c.conn)
+	if c.link == nil {
+		r.others--
+	}
 	r.Open = len(r.ends)
 	r.do(Effect{Do: how, Conn: c.conn})
 }
@@ -546,14 +553,19 @@
 	switch {
 	case len(head.At) > 0:
 		r.resume(l)
-	case len(r.ends)-r.heads+1 > r.room || r.links > r.mostHeld:
-		// Against running out of descriptors in mid-flow: nothing was sent, so trying again is harmless.
+	case r.short() || r.links > r.mostHeld:
+		// Against running out of descriptors in mid-flow: nothing was sent, so trying again is harmless. A link
+		// that waits for a server counts with the connection that it will have: else those held take all there
+		// are once they go on, and whoever comes then waits to be accepted until its time is up.
 		r.Carry(l, logic.Answer{Verdict: logic.Reject, Wait: r.maxBack})
 	default:
 		r.table.Place(r.now, l)
 	}
 }
 
+// short tells whether links and probes come to more descriptors than there are for them.
+func (r *Reducer) short() bool { return perLink*r.links+r.others > r.room }
+
 // Carry does what the module answered.
 func (r *Reducer) Carry(l *link, a logic.Answer) {
 	switch a.Verdict {
