A server's capacity is guessed only from links that its figure holds

A relay guesses what a server bears as its own links' load over the reported load, and keeps the highest. Links on servers that leave, and links placed since the last report, stood in the first figure and not in the second: with 48 clients coming at once servers of 2.25 cores were held to bear 18, and a cold one was sent 3.6 cores within 2.4 s where 2.85 times 1.16 is the bound. Both are left out now.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -240,9 +240,10 @@
 	}
 	sum, known, own, links, ready := 0.0, 0.0, 0.0, 0.0, 0.0
 	for s, c := range b.condition {
-		own, links = own+b.linkLoads[s], links+float64(b.links[s])
+		links += float64(b.links[s])
 		if c == Ready && b.health.good(s) {
-			ready++
+			// Against links on servers that leave, and those that no figure holds yet: both make servers look larger.
+			ready, own = ready+1, own+max(b.linkLoads[s]-b.probing.fresh[s], 0)
 			if !math.IsNaN(b.probing.load[s]) {
 				sum, known = sum+b.load(s), known+1
 			}
