--- a/logic/logic.go
+++ b/logic/logic.go
@@ -238,25 +238,30 @@
 	if !b.turns.stale || (now < b.turns.built+rebuildTime && b.part >= 1) {
 		return
 	}
-	sum, known, own, links, ready := 0.0, 0.0, 0.0, 0.0, 0.0
+	sum, known, own, fresh, links, ready := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 	for s, c := range b.condition {
 		links += float64(b.links[s])
 		if c == Ready && b.health.good(s) {
-			// Against links on servers that leave, and those that no figure holds yet: both make servers look larger.
-			ready, own = ready+1, own+max(b.linkLoads[s]-b.probing.fresh[s], 0)
+			// Against links on servers that leave, held against the others' loads: they make all look larger.
+			ready, own, fresh = ready+1, own+b.linkLoads[s], fresh+b.probing.fresh[s]
 			if !math.IsNaN(b.probing.load[s]) {
 				sum, known = sum+b.load(s), known+1
 			}
 		}
 	}
 	b.mean = sum / max(known, 1)
+	bears := b.guessed
 	if sum > nearZero*known {
-		b.guessed = max(0.995*b.guessed, own*b.shares.relays/sum*known/ready) // a young relay holds too few
+		// A young relay holds too few, so the highest is kept; but not of links that no figure holds yet, which
+		// make servers look larger. They count while they are new, as else they would find no room.
+		scale := b.shares.relays / sum * known / ready
+		b.guessed = max(0.995*b.guessed, max(own-fresh, 0)*scale)
+		bears = max(b.guessed, own*scale)
 	}
 	// The parties' shares tell for all relays what one with a handful of links can't guess from them.
 	faith := min(quotaFaith, b.shares.quota)
 	told := b.shares.quota / quotaPart / max(b.listed, 1) * b.shares.loadMean
-	b.capacity = (links*b.guessed + faith*told) / max(links+faith, 1)
+	b.capacity = (links*bears + faith*told) / max(links+faith, 1)
 	for s, c := range b.condition {
 		b.turns.counts[s] = 0
 		if c == Ready && b.health.good(s) && (b.part >= 1 || now < b.probing.heardAt[s]+slowest) {
