Placing and lines no longer look at every server: due probes, cold ones and the table

Next looked at every server for each event, Place counted cold ones over the whole fleet and walked the table for an own zone where nothing is paid for crossing, and each rebuild sorted the table.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,9 +78,7 @@
 			t.table = append(t.table, bucket{(float64(k) + phase) / float64(n), s})
 		}
 	}
-	slices.SortFunc(t.table, func(a, b bucket) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server, b.server))
-	})
+	t.sort()
 	t.at = t.chance.Intn(max(len(t.table), 1))
 	t.built, t.stale = now, false
 }
@@ -100,17 +98,15 @@
 // servers over their warm-up, to an even share at most. Little is saved up, for the same reason.
 func (b *Balancer) allow(now float64, l *Link) int {
 	w, mark := b.warmup, b.mark(l)
-	sum, cold, all, pick, least := 0.0, 0.0, 0.0, -1, math.Inf(1)
-	for s := range b.ids {
+	sum, cold, all, pick, least := 0.0, 0.0, float64(b.track.usable), -1, math.Inf(1)
+	for _, s := range b.coldOnes(now) {
 		if b.condition[s] != Ready || !b.health.good(s) {
 			continue
 		}
-		all++
-		if part := w.part(s, now); part < 1 {
-			cold, sum = cold+1, sum+part
-			if d := draw(mark, b.ids[s]) / part; d < least {
-				pick, least = s, d
-			}
+		part := w.part(s, now)
+		cold, sum = cold+1, sum+part
+		if d := draw(mark, b.ids[s]) / part; d < least {
+			pick, least = s, d
 		}
 	}
 	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
@@ -198,9 +194,11 @@
 	if started > b.started[s] {
 		// A restart under the same id is a cold server: figures from before say nothing of it.
 		b.forget(s)
-		b.started[s], b.warmup.since[s], b.health.failed[s] = started, started, 0
+		b.started[s], b.health.failed[s] = started, 0
+		b.chill(s, started)
 	}
 	b.condition[s], b.zones[s], b.cells[s], b.weights[s], b.mentioned[s] = cond, zone, cell, weight, true
+	b.touch(s)
 }
 
 // ListEnded closes the news.
@@ -399,7 +397,9 @@
 		return l.cold, false
 	}
 	for i, limit := range bounds {
-		if i == 3 {
+		if i == 0 && b.crossing <= 0 {
+			continue // nothing is paid for crossing, so the own zone goes not before: the table need not be walked
+		} else if i == 3 {
 			avoid = -1
 		}
 		if s := b.turn(l, func(s int) bool {
@@ -467,6 +467,7 @@
 		b.stood(now, l)
 	case outcome == TimedOut:
 		b.probing.askedAt[s] = math.Inf(-1) // a slow shared store times out everywhere: only its probe tells
+		b.touch(s)
 	}
 	// A server that is silent itself says nothing of the store: against a cut zone being taken for a storm.
 	if !l.open && (outcome == Errored || outcome == TimedOut) && b.health.failed[s] == 0 {
@@ -489,6 +490,7 @@
 	fade := math.Exp((e.asOf - now) / tryMemory)
 	e.stood, e.over, e.asOf = e.stood*fade+1, e.over*fade+now-e.asOf, now
 	b.health.failed[l.server] = 0
+	b.touch(l.server)
 	e.judge(l, now, now-l.sent <= timely*e.categories[l.Category].PromisedTime)
 }
 
@@ -514,12 +516,14 @@
 		return
 	}
 	if b.health.lost[s] {
-		b.health.lost[s], b.warmup.since[s] = false, now
+		b.health.lost[s] = false
+		b.chill(s, now)
 	}
 	if b.health.failed[s] > 0 {
 		b.health.failed[s] = 0
 		b.turns.expire()
 	}
+	b.touch(s)
 	b.Reported(now, id, report)
 }
 
@@ -559,6 +563,14 @@
 	return max(within-over, 0) + over*float64(nth)/float64(of)
 }
 
+// dueAt is when a server that was asked is asked again.
+func (b *Balancer) dueAt(s int, every float64) float64 {
+	if b.health.failed[s] > 0 {
+		return b.probing.askedAt[s] + retryProbe
+	}
+	return b.probing.askedAt[s] + every*(0.9+0.2*b.probing.lots[s]) // so that probes come to stand apart
+}
+
 // Next says how long to wait, and which probe or subscription is due now; ask until none is.
 func (b *Balancer) Next(now float64) Due {
 	d := Due{Wait: b.askAt - now}
@@ -575,22 +587,20 @@
 	if !p.allowed || part == 0 {
 		return d
 	}
-	for s, c := range b.condition {
-		if c != Ready || p.lots[s] >= part || !math.IsNaN(p.sentAt[s]) {
-			continue
-		}
-		if math.IsInf(p.askedAt[s], -1) {
+	for i := 0; i < len(b.track.fresh); i++ {
+		if s := b.track.fresh[i]; p.lots[s] < part {
 			// Against all relays asking all servers at one moment, and against a young relay that is blind.
 			p.askedAt[s] = now + b.turns.chance.Float64()*retryProbe - every
+			b.touch(s)
+			i--
 		}
-		wait := p.askedAt[s] + every*(0.9+0.2*p.lots[s]) - now // so that probes come to stand apart
-		if b.health.failed[s] > 0 {
-			wait = p.askedAt[s] + retryProbe - now
-		}
-		if wait <= 0 {
-			return b.ask(now, s)
-		}
-		d.Wait = min(d.Wait, wait)
 	}
+	l := look{now: now, every: every, part: part, pick: -1, wait: d.Wait}
+	b.find(&b.track.doubted, 0, 0, &l)
+	b.find(&b.track.calm, 0, 0.9*(every-probeEvery), &l)
+	if l.pick >= 0 {
+		return b.ask(now, l.pick)
+	}
+	d.Wait = l.wait
 	return d
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -130,6 +130,38 @@
 	at     int
 	built  float64
 	stale  bool
+
+	bins   []int // for the sort, and what it sorts into
+	sorted []bucket
+}
+
+// sort orders the table by place and server. Places are spread evenly over 0 to 1, so they are dealt into as
+// many bins as there are buckets, and only neighbours are left to be compared.
+func (t *Turns) sort() {
+	n := len(t.table)
+	t.bins = slices.Grow(t.bins[:0], n+1)[:n+1]
+	clear(t.bins)
+	bin := func(x bucket) int { return min(int(x.at*float64(n)), n-1) }
+	for _, x := range t.table {
+		t.bins[bin(x)+1]++
+	}
+	for i := 1; i <= n; i++ {
+		t.bins[i] += t.bins[i-1]
+	}
+	t.sorted = slices.Grow(t.sorted[:0], n)[:n]
+	for _, x := range t.table {
+		i := bin(x)
+		t.sorted[t.bins[i]] = x
+		t.bins[i]++
+	}
+	t.table, t.sorted = t.sorted, t.table
+	for i := 1; i < n; i++ {
+		x, j := t.table[i], i
+		for ; j > 0 && (x.at < t.table[j-1].at || (x.at == t.table[j-1].at && x.server < t.table[j-1].server)); j-- {
+			t.table[j] = t.table[j-1]
+		}
+		t.table[j] = x
+	}
 }
 
 // NewTurns starts without a table.
@@ -235,6 +267,7 @@
 // ask notes that the server is asked now.
 func (b *Balancer) ask(now float64, s int) Due {
 	b.probing.askedAt[s], b.probing.sentAt[s] = now, now
+	b.touch(s)
 	return Due{Probing: true, Probe: b.ids[s]}
 }
 
@@ -326,6 +359,7 @@
 	listed    float64 // servers ready when the shares were told
 	part      float64 // of the fleet that is in use
 	ranks     []float64
+	track     track
 }
 
 // New joins the parts. Zone is the relay's own; crossing is the fee for crossing zones; grouped,
@@ -365,6 +399,8 @@
 	b.warmup.since[s], b.started[s] = never, 0
 	b.probing.sentAt[s], b.probing.askedAt[s], b.probing.lots[s] = nan, never, b.turns.chance.Float64()
 	b.forget(s)
+	b.track.grow(len(b.ids))
+	b.touch(s)
 	return s
 }
 
@@ -376,6 +412,7 @@
 	for s := range b.mentioned {
 		if b.whole && !b.mentioned[s] {
 			b.condition[s] = Gone
+			b.touch(s)
 		}
 		if !b.heard && b.condition[s] == Ready {
 			b.listed++
@@ -384,7 +421,7 @@
 }
 
 // doubt counts a failure of the server.
-func (b *Balancer) doubt(s int) { b.health.failed[s]++; b.turns.expire() }
+func (b *Balancer) doubt(s int) { b.health.failed[s]++; b.turns.expire(); b.touch(s) }
 
 // forget drops the server's figures.
 func (b *Balancer) forget(s int) {
