--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -162,6 +162,9 @@
 	now   float64
 
 	effects []Effect
+	parts   [][]byte // of the writes among them
+	carried []Effect // the former two as they were handed out last; taken up again at the next call
+	written [][]byte
 	timers  timers
 	armed   float64
 	ends    map[uint64]*end
@@ -297,9 +300,9 @@
 		r.armed = wake
 		r.do(Effect{Do: Arm, At: wake})
 	}
-	effects := r.effects
-	r.effects = r.effects[len(r.effects):]
-	return effects
+	r.effects, r.carried = r.carried[:0], r.effects
+	r.parts, r.written = r.written[:0], r.parts
+	return r.carried
 }
 
 // mostMute is how many clients without a head may be there: what links can never take.
@@ -332,7 +335,11 @@
 
 func (r *Reducer) note(text string, args ...any) { r.do(Effect{Do: Note, Text: text, Args: args}) }
 
-func (r *Reducer) write(c *end, parts ...[]byte) { r.do(Effect{Do: Write, Conn: c.conn, Parts: parts}) }
+func (r *Reducer) write(c *end, data []byte) {
+	n := len(r.parts)
+	r.parts = append(r.parts, data)
+	r.do(Effect{Do: Write, Conn: c.conn, Parts: r.parts[n : n+1 : n+1]})
+}
 
 func (r *Reducer) arm(t *timer, at float64) {
 	t.at = at
@@ -626,7 +633,7 @@
 	if l.stage == resuming {
 		wait = l.head.Wait
 	}
-	r.write(c, l.head.Out(wait)...)
+	r.do(Effect{Do: Write, Conn: c.conn, Parts: l.head.Out(wait)})
 	c.wait.fire = func() { r.tryOver(l, NoAnswer) }
 	r.arm(&c.wait, l.giveUp)
 }
--- a/logic/due.go
+++ b/logic/due.go
@@ -149,13 +149,13 @@
 }
 
 // find looks among those below a place of a heap. Extra is how much later than its key a server is due at the
-// least; a millisecond is left for rounding.
+// least; a hundredth of a millisecond is left for rounding.
 func (b *Balancer) find(w *waiting, i int, extra float64, l *look) {
 	if i >= len(w.heap) {
 		return
 	}
 	s := w.heap[i]
-	if w.key[s]+extra-1 > l.now+max(l.wait, 0) {
+	if w.key[s]+extra-0.01 > l.now+max(l.wait, 0) {
 		return
 	}
 	if b.probing.lots[s] < l.part {
--- /dev/null
+++ b/logic/due_test.go
@@ -0,0 +1,196 @@
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// nextPlain is Next as it is without bookkeeping: a look at every server.
+func nextPlain(b *Balancer, now float64) Due {
+	d := Due{Wait: b.askAt - now}
+	if d.Wait <= 0 {
+		b.askAt = now + b.silence()
+		return Due{Subscribe: true}
+	}
+	p := b.probing
+	if s := p.pop(); s >= 0 {
+		return b.ask(now, s)
+	}
+	part, every := b.spread()
+	if !p.allowed || part == 0 {
+		return d
+	}
+	for s, c := range b.condition {
+		if c != Ready || p.lots[s] >= part || !math.IsNaN(p.sentAt[s]) {
+			continue
+		}
+		if math.IsInf(p.askedAt[s], -1) {
+			p.askedAt[s] = now + b.turns.chance.Float64()*retryProbe - every
+		}
+		wait := p.askedAt[s] + every*(0.9+0.2*p.lots[s]) - now
+		if b.health.failed[s] > 0 {
+			wait = p.askedAt[s] + retryProbe - now
+		}
+		if wait <= 0 {
+			return b.ask(now, s)
+		}
+		d.Wait = min(d.Wait, wait)
+	}
+	return d
+}
+
+func large(servers, relays int, fee float64, seed int64) *Balancer {
+	chance := rand.New(rand.NewSource(seed))
+	categories := []Category{{PromisedTime: 300, Gain: 1}}
+	b := New(NewRoster(false, 0), NewTurns(chance), NewWarmup(0.2, 9000, 3, 2000, relays),
+		NewProbing(true, fee, []string{"x0"}), NewEffects(categories, 3, 900, relays),
+		NewShares(categories, nil, 1, relays), 0, 0, false, false)
+	b.ListBegan(true)
+	for s := range servers {
+		b.Listed(uint32(s), 0, Ready, 0, 0, 1)
+	}
+	b.ListEnded(0)
+	return b
+}
+
+// Whatever happens, the same is due, and the same servers are cold, as a look at every server finds.
+func TestBookkeepingFindsWhatALookAtAllDoes(t *testing.T) {
+	for seed := range int64(60) {
+		chance := rand.New(rand.NewSource(seed))
+		servers, relays, fee := 1+chance.Intn(60), 1+chance.Intn(100), []float64{0, 0, 0.001, 0.02}[chance.Intn(4)]
+		a, b := large(servers, relays, fee, seed), large(servers, relays, fee, seed)
+		now := 1.0
+		var asked []uint32
+		var as, bs []*Link
+		for range 1500 {
+			now += chance.ExpFloat64() * 20
+			switch k := chance.Intn(10); {
+			case k < 3 && len(asked) > 0:
+				i := chance.Intn(len(asked))
+				ok, load := chance.Intn(4) > 0, chance.Float64()
+				a.Probed(now, asked[i], ok, []float64{load})
+				b.Probed(now, asked[i], ok, []float64{load})
+				asked = append(asked[:i], asked[i+1:]...)
+			case k < 6:
+				x, y := &Link{Limit: now + 2000}, &Link{Limit: now + 2000}
+				require.Equal(t, b.Place(now, y), a.Place(now, x), "seed %d", seed)
+				if x.out {
+					as, bs = append(as, x), append(bs, y)
+				}
+			case k < 8 && len(as) > 0:
+				i := chance.Intn(len(as))
+				if chance.Intn(2) == 0 {
+					a.Accepted(now, as[i])
+					b.Accepted(now, bs[i])
+					break
+				}
+				outcome := []Outcome{Errored, TurnedAway, TimedOut, Unreachable, Broken}[chance.Intn(5)]
+				require.Equal(t, b.After(now, bs[i], outcome, true), a.After(now, as[i], outcome, true))
+				as, bs = append(as[:i], as[i+1:]...), append(bs[:i], bs[i+1:]...)
+			case k == 8:
+				id, cond, since := uint32(chance.Intn(servers+3)), Condition(chance.Intn(3)), 0.0
+				if chance.Intn(3) == 0 {
+					since = now
+				}
+				for _, of := range []*Balancer{a, b} {
+					of.ListBegan(false)
+					of.Listed(id, 0, cond, 0, since, 1)
+					of.ListEnded(now)
+				}
+			}
+			for {
+				x, y := a.Next(now), nextPlain(b, now)
+				require.Equal(t, y, x, "seed %d at %v", seed, now)
+				if !x.Probing && !x.Subscribe {
+					break
+				}
+				if x.Probing {
+					asked = append(asked, x.Probe)
+				}
+			}
+			usable := 0
+			for s, c := range a.condition {
+				if c == Ready && a.health.good(s) {
+					usable++
+				}
+				if a.warmup.part(s, now) < 1 {
+					require.Contains(t, a.coldOnes(now), s)
+				}
+			}
+			require.Equal(t, usable, a.track.usable, "seed %d", seed)
+		}
+	}
+}
+
+func fleets(b *testing.B, run func(b *testing.B, servers int)) {
+	for _, n := range []int{20, 200, 1000, 5000} {
+		b.Run(map[int]string{20: "20", 200: "200", 1000: "1000", 5000: "5000"}[n], func(b *testing.B) { run(b, n) })
+	}
+}
+
+// settled is a fleet whose servers have all been asked and have told their loads.
+func settled(servers int) (*Balancer, float64) {
+	l := large(servers, 2, 0, 1)
+	now := 1.0
+	for ; now < 3000; now += 10 {
+		for d := l.Next(now); d.Probing; d = l.Next(now) {
+			l.Probed(now, d.Probe, true, []float64{0.2 + 0.2*float64(d.Probe%7)/7})
+		}
+	}
+	return l, now
+}
+
+// Placing a link, and its end, on a fleet that answers its probes meanwhile: 2000 links a second.
+func BenchmarkPlace(b *testing.B) {
+	fleets(b, func(b *testing.B, servers int) {
+		l, now := settled(servers)
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			link := &Link{Limit: now + 2000}
+			if l.Place(now, link).Verdict == Send {
+				l.Accepted(now, link)
+				l.After(now, link, Satisfied, true)
+			}
+		}
+	})
+}
+
+// What is asked after every event, a line passed on among them.
+func BenchmarkNext(b *testing.B) {
+	fleets(b, func(b *testing.B, servers int) {
+		l, now := settled(servers)
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			l.Next(now)
+		}
+	})
+}
+
+// The same by a look at every server, to be held against it in one run.
+func BenchmarkNextByLookingAtAll(b *testing.B) {
+	fleets(b, func(b *testing.B, servers int) {
+		l, now := settled(servers)
+		b.ResetTimer()
+		for range b.N {
+			nextPlain(l, now)
+		}
+	})
+}
+
+// One rebuild of the table of buckets.
+func BenchmarkBuild(b *testing.B) {
+	fleets(b, func(b *testing.B, servers int) {
+		l, now := settled(servers)
+		b.ReportAllocs()
+		b.ResetTimer()
+		for range b.N {
+			l.turns.expire()
+			l.refresh(now)
+		}
+	})
+}
