valelab cost: the relay beside a bare forwarder and direct connections, in one run

Need: what a relay adds was known only from a probe outside the repository. The command measures set-ups for a second of CPU, a line's time there and back, and the memory of a standing link, at several sizes of the fleet, the three ways taking turns.

--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	_ "embed"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"valeshift/internal/lab/cost"
 	"valeshift/internal/lab/experiment"
 	"valeshift/internal/lab/hunt"
 	"valeshift/internal/lab/live"
@@ -21,11 +23,74 @@
 )
 
 type line struct {
-	Sim   simCommand   `cmd:"" help:"Play an experiment file under virtual time: the real reducers on a simulated network."`
-	Load  loadCommand  `cmd:"" help:"Play it on loopback sockets: relay processes, stand-in servers and discovery."`
-	Hunt  huntCommand  `cmd:"" help:"Draw experiments over a range of seeds, check the rules on each, shrink what breaks one."`
-	Check checkCommand `cmd:"" help:"Read an experiment file, name the field that is wrong; play nothing."`
-	Demo  demoCommand  `cmd:"" help:"Two relays, ten servers and a failure on loopback within 30 s, ending with a report."`
+	Sim     simCommand     `cmd:"" help:"Play an experiment file under virtual time: the real reducers on a simulated network."`
+	Load    loadCommand    `cmd:"" help:"Play it on loopback sockets: relay processes, stand-in servers and discovery."`
+	Hunt    huntCommand    `cmd:"" help:"Draw experiments over a range of seeds, check the rules on each, shrink what breaks one."`
+	Check   checkCommand   `cmd:"" help:"Read an experiment file, name the field that is wrong; play nothing."`
+	Cost    costCommand    `cmd:"" help:"Measure what a relay costs on loopback, beside a bare forwarder and direct connections."`
+	Forward forwardCommand `cmd:"" hidden:""`
+	Demo    demoCommand    `cmd:"" help:"Two relays, ten servers and a failure on loopback within 30 s, ending with a report."`
+}
+
+type forwardCommand struct {
+	Address string `arg:"" help:"Where to listen."`
+}
+
+// Run serves until it is stopped.
+func (c *forwardCommand) Run(ctx context.Context) error {
+	return cost.Forward(ctx, os.Stdin, c.Address)
+}
+
+type costCommand struct {
+	Servers  []int         `default:"20,200,1000,5000" help:"Sizes of the fleet, one after the other."`
+	Clients  int           `default:"16" help:"Clients that open and reset links one after another."`
+	Lasts    time.Duration `default:"3s" help:"How long each measurement takes."`
+	Standing int           `default:"100" help:"Links that send lines."`
+	Every    time.Duration `default:"10ms" help:"Between a link's lines."`
+	Idle     int           `default:"1000" help:"Links that stand for the measurement of memory; 0: none."`
+	Rounds   int           `default:"2" help:"In which the relay, the forwarder and direct connections take turns."`
+	Relay    string        `help:"The relay's program; valeshift beside this one, if none is named." type:"path"`
+	JSON     string        `help:"Write the figures to this file." type:"path"`
+}
+
+// Run measures each size.
+func (c *costCommand) Run(ctx context.Context) error {
+	own, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	relay := c.Relay
+	if relay == "" {
+		relay = filepath.Join(filepath.Dir(own), "valeshift")
+	}
+	dir, err := os.MkdirTemp("", "valelab")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	var all []*cost.Figures
+	for _, n := range c.Servers {
+		figures, err := cost.Measure(ctx, cost.Plan{Relay: []string{relay}, Forwarder: []string{own, "forward"},
+			Servers: n, Clients: c.Clients, Lasts: c.Lasts, Standing: c.Standing, Every: c.Every, Idle: c.Idle,
+			Rounds: c.Rounds, Dir: dir})
+		if err != nil {
+			return err
+		}
+		for _, f := range figures {
+			fmt.Printf("%5d servers  %-9s %7.0f set-ups/s (%d failed) %7.0f a CPU second  line p50 %.3f p99 %.3f "+
+				"p99.9 %.3f ms  %.1f us CPU a line  %.0f bytes a link\n", f.Servers, f.Way, f.PerSecond, f.Failed,
+				f.PerCPU, f.P50, f.P99, f.P999, f.LineCPU, f.Memory)
+		}
+		all = append(all, figures...)
+	}
+	if c.JSON == "" {
+		return nil
+	}
+	text, err := json.MarshalIndent(all, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.JSON, text, 0o644)
 }
 
 func main() {
