--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -120,6 +120,7 @@
 			r.probeOver(b)
 		}
 	}
+	r.overtaken(named)
 	r.table.Balancer.ListEnded(r.now)
 	for _, b := range r.order {
 		if news.Whole && !named[b] {
@@ -145,6 +146,24 @@
 	}
 }
 
+// overtaken takes those for gone whose address is another's by the news. Against a discovery that lost its
+// versions and so never told their end: the address would be sent links under a name that nothing is told of.
+func (r *Reducer) overtaken(named map[*backend]bool) {
+	at := map[string]*backend{}
+	for _, b := range r.order {
+		if named[b] && b.condition != logic.Gone {
+			at[b.Address] = b
+		}
+	}
+	for _, b := range r.order {
+		if by := at[b.Address]; by != nil && !named[b] && b.condition != logic.Gone {
+			r.note("backend's address is another's now", "backend", b.Name, "by", by.Name)
+			b.condition = logic.Gone
+			r.table.Balancer.Listed(b.id, r.zone(b.Zone), logic.Gone, b.Group, b.Since, b.Weight)
+		}
+	}
+}
+
 // list takes what the watch brought.
 func (r *Reducer) list(e Event) {
 	if e.Kind == ListFailed {
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -573,3 +573,42 @@
 		}
 	}
 }
+
+// A server that comes at another's address ends that one, also where the list has not said so: its links go
+// elsewhere, and nothing new comes to the address under the old name.
+func TestAddressOfAnother(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.stands()
+	s.play("moved as for a server that goes", step{200, "news 1 2 delta c1=leaving", "write 1 MOVE|; end 1; end s1"})
+	assert.Contains(t, s.notes, "backend's address is another's now[backend b1 by c1]")
+	s.play("nothing new", step{300, "open 2", ""}, step{300, "came 2 OPEN b 1f c=feed,t=one,d=2000|", ""})
+
+	s = open(t, nil, 0, "b1=active")
+	s.stands()
+	s.play("both in one list stay", step{200, "news 1 2 whole b1=active c1=active", ""}, step{201, "tick", ""})
+	assert.Empty(t, s.notes)
+	s.play("one that is gone takes nothing", step{300, "news 1 3 delta c1=left", ""}, step{301, "tick", ""})
+	assert.Equal(t, 1, s.Standing)
+}
+
+// Short of descriptors, links that wait for a server count with the connection that they will have, so that
+// whoever comes is taken in and answered at once; and probes give theirs back.
+func TestLinksThatWaitCountWithWhatTheyWillHave(t *testing.T) {
+	s := open(t, nil, 46) // 14 to use, 10 of them for links
+	for i := 1; i <= 9; i++ {
+		s.at(100, fmt.Sprintf("open %d", i))
+		said := s.at(100, fmt.Sprintf("came %d OPEN i%d 1f c=feed,t=one,d=2000|", i, i))
+		if i <= 5 { // held: there is no backend yet
+			assert.Empty(t, said, i)
+		} else {
+			assert.Equal(t, fmt.Sprintf("write %d BUSY 900|; end %d", i, i), said)
+		}
+	}
+	s.at(110, "news 1 2 whole b1=active")
+	s.at(160, "tick")
+	assert.Equal(t, 5, int(s.Tries))
+	assert.Len(t, s.ends, 10)
+	assert.False(t, s.full)
+	s.play("there is still room for who comes", step{170, "open 10", ""},
+		step{170, "came 10 OPEN x 1f c=feed,t=one,d=2000|", "write 10 BUSY 900|; end 10"})
+}
