--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -10,7 +10,6 @@
 // its OnData tells a reset that follows data as an end, so OnRead reads here.
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -29,7 +28,6 @@
 const (
 	readPiece  = 16 << 10
 	mostUnread = 64 << 10 // written but not taken by a peer, above which it is a slow reader and cut off
-	dialWait   = 10 * time.Second
 	lastWrites = 200 * time.Millisecond
 	acceptGap  = 20 * time.Millisecond
 	restWait   = 2 * time.Second // for a peer to take what was written before an end
@@ -55,7 +53,8 @@
 	baseMS  float64
 	mutex   sync.Mutex // over all below, and the reducer
 	open    map[uint64]*socket
-	dialing map[uint64]context.CancelFunc
+	dialing map[uint64]*dialing
+	work    workers
 	timer   *time.Timer
 	held    bool // no client is accepted
 	freed   *sync.Cond
@@ -69,7 +68,7 @@
 	stop, print, reload <-chan struct{}) error {
 	now := time.Now()
 	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
-		dialing: map[uint64]context.CancelFunc{}, quit: make(chan struct{})}
+		dialing: map[uint64]*dialing{}, quit: make(chan struct{})}
 	reducer, err := New(s.baseMS, t)
 	if err != nil {
 		return err
@@ -214,14 +213,43 @@
 	}
 }
 
-// dial connects beside the reducer. A connection that comes up after it was given up is dropped here.
+// dialing is a connection that is being dialed. Against a context for each, which costs a routine and a timer
+// more than the connecting itself: whoever gives the dial up shuts its socket down.
+type dialing struct {
+	mutex  sync.Mutex
+	raw    syscall.RawConn // once there is a socket
+	gaveUp bool
+}
+
+var errGivenUp = errors.New("dial: given up")
+
+// socket is told of the socket before it connects.
+func (d *dialing) socket(_, _ string, raw syscall.RawConn) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.raw = raw; d.gaveUp {
+		return errGivenUp
+	}
+	return nil
+}
+
+func (d *dialing) giveUp() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.gaveUp = true
+	if d.raw != nil {
+		d.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
+	}
+}
+
+// dial connects beside the reducer. A connection that comes up after it was given up is dropped here. The
+// reducer gives up each that does not come up in time, so that there is no other limit.
 func (s *Sockets) dial(conn uint64, address string) {
-	ctx, stop := context.WithTimeout(context.Background(), dialWait)
-	s.dialing[conn] = stop
-	go func() {
-		defer stop()
-		dialer := net.Dialer{KeepAlive: -1}
-		plain, err := dialer.DialContext(ctx, "tcp", address)
+	d := &dialing{}
+	s.dialing[conn] = d
+	s.work.do(func() {
+		dialer := net.Dialer{KeepAlive: -1, Control: d.socket}
+		plain, err := dialer.Dial("tcp", address)
 		if err != nil {
 			s.mutex.Lock()
 			delete(s.dialing, conn)
@@ -230,7 +258,7 @@
 			return
 		}
 		s.hold(conn, plain, Up)
-	}()
+	})
 }
 
 // hold gives a connection to nbio, unless it was given up meanwhile. A client's is told of before its first
@@ -305,13 +333,13 @@
 	if !ok {
 		return
 	}
-	go func() {
+	s.work.do(func() {
 		s.mutex.Lock()
 		delete(s.open, c.conn)
 		s.mutex.Unlock()
 		s.take(Event{Kind: Over, Conn: c.conn, Broken: err != nil && !errors.Is(err, io.EOF),
 			Unsent: c.unsent.Load() > 0, Slow: errors.Is(err, nbio.ErrOverflow)})
-	}()
+	})
 }
 
 // write hands all parts over at once; what the kernel does not take stays with nbio, within its bound.
@@ -367,9 +395,9 @@
 }
 
 func (s *Sockets) end(conn uint64, how Do) {
-	if stop := s.dialing[conn]; stop != nil {
+	if d := s.dialing[conn]; d != nil {
 		delete(s.dialing, conn)
-		stop()
+		d.giveUp()
 		return
 	}
 	c := s.open[conn]
--- a/internal/relay/sockets_test.go
+++ b/internal/relay/sockets_test.go
@@ -87,3 +87,73 @@
 	}
 	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%d bytes were taken", sent)
 }
+
+// A dial that is given up ends at once, though its peer says nothing: here a listener that is full.
+func TestDialGivenUpEndsAtOnce(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	defer syscall.Close(fd)
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	address := net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}
+	for range 10 { // until it is full
+		c, err := net.DialTimeout("tcp", address.String(), 200*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	for _, early := range []bool{false, true} {
+		d, ended := &dialing{}, make(chan error, 1)
+		if early { // before there is a socket
+			d.giveUp()
+		}
+		go func() {
+			dialer := net.Dialer{KeepAlive: -1, Control: d.socket}
+			_, err := dialer.Dial("tcp", address.String())
+			ended <- err
+		}()
+		if !early {
+			select {
+			case err := <-ended:
+				require.Fail(t, "the listener is not full", "%v", err)
+			case <-time.After(50 * time.Millisecond):
+			}
+			d.giveUp()
+		}
+		select {
+		case err := <-ended:
+			require.Error(t, err)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "still dialing")
+		}
+	}
+}
+
+// Workers take each job at once, also where all are busy, and those that are done take the next.
+func TestWorkers(t *testing.T) {
+	var w workers
+	const jobs = 3 * mostIdle
+	busy, free := make(chan bool, jobs), make(chan bool)
+	for round := range 2 {
+		for range jobs {
+			w.do(func() {
+				busy <- true
+				<-free
+			})
+		}
+		for range jobs {
+			<-busy
+		}
+		for range jobs {
+			free <- true
+		}
+		require.Eventually(t, func() bool {
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			return len(w.idle) == mostIdle
+		}, 5*time.Second, time.Millisecond, "round %d", round)
+	}
+}
