--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,6 +44,7 @@
 	roomSpread = 0.08    // how far gain per load moves that bound
 	quotaPart  = 0.8     // of what the fleet holds, that the parties' shares come to
 	quotaFaith = 20.0    // links of its own, from which a relay trusts their load as much as the shares
+	bearsLeast = 10.0    // links of the mean load that a server bears, where no shares tell
 	keyMemory  = 60000.0 // for which the load of a link that broke is kept
 	tryMemory  = 10000.0 // over which links that stand are counted
 	easing     = 0.3     // of the way down that a load moves in the time of one report
@@ -260,6 +261,11 @@
 	faith := min(quotaFaith, b.shares.quota)
 	told := b.shares.quota / quotaPart / max(b.listed, 1) * b.shares.loadMean
 	b.capacity = (links*bears + faith*told) / max(links+faith, 1)
+	if faith == 0 && b.capacity > 0 {
+		// Against a relay just back that is told no shares: of the few links it holds each looks larger than a
+		// server, so that it takes none, and never learns better.
+		b.capacity = max(b.capacity, bearsLeast*b.shares.loadMean)
+	}
 	for s, c := range b.condition {
 		b.turns.counts[s] = 0
 		if c == Ready && b.health.good(s) && (b.part >= 1 || now < b.probing.heardAt[s]+slowest) {
