--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -127,6 +127,35 @@
 	return os.WriteFile(o.Report+".json", text, 0o644)
 }
 
+type reportCommand struct {
+	Files []string `arg:"" help:"Reports as sim and load wrote them, in JSON." type:"existingfile"`
+	Out   string   `default:"report" help:"Where the page goes: NAME.html and NAME.json." placeholder:"NAME" type:"path"`
+}
+
+// Run puts the runs of several reports on one page, side by side: of simulation and sockets, or of two builds.
+func (c *reportCommand) Run() error {
+	var all *report.Report
+	for _, path := range c.Files {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		var r report.Report
+		if err := json.Unmarshal(text, &r); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		if all == nil {
+			all = &r
+			continue
+		}
+		if r.Name != all.Name {
+			return fmt.Errorf("%s: a report of %q expected, got %q", path, all.Name, r.Name)
+		}
+		all.Runs = append(all.Runs, r.Runs...)
+	}
+	return out{c.Out}.write(all)
+}
+
 // say prints a run, and gives an error where it broke a rule that it is held to.
 func say(r *report.Run, held bool, more string) error {
 	fmt.Printf("%-12s %s: service %.4f, worst second %.3f, answers %v, rules broken %v %s\n", r.Variant, r.How,
--- /dev/null
+++ b/internal/lab/cost/cost_test.go
@@ -0,0 +1,45 @@
+package cost
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A short measurement runs to its end with nothing failed, and has a figure for each way. What the figures are
+// is the machine's.
+func TestMeasure(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{"valeshift", "valelab"} {
+		said, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "valeshift/cmd/"+name).CombinedOutput()
+		require.NoError(t, err, "%s", said)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	all, err := Measure(ctx, Plan{Relay: []string{filepath.Join(dir, "valeshift")},
+		Forwarder: []string{filepath.Join(dir, "valelab"), "forward"}, Servers: 30, Clients: 4,
+		Lasts: 300 * time.Millisecond, Standing: 5, Every: 10 * time.Millisecond, Idle: 50, Rounds: 1, Dir: dir})
+	require.NoError(t, err)
+	require.Len(t, all, 3)
+	for i, way := range []string{"relay", "forwarder", "direct"} {
+		assert.Equal(t, way, all[i].Way)
+		assert.Zero(t, all[i].Failed, way)
+		assert.Greater(t, all[i].Setups, 20, way)
+		assert.Greater(t, all[i].Lines, int64(50), way)
+		assert.Greater(t, all[i].P50, 0.0, way)
+	}
+}
+
+// The forwarder says what it misses.
+func TestForwardWantsServers(t *testing.T) {
+	in, err := os.Open(os.DevNull)
+	require.NoError(t, err)
+	defer in.Close()
+	assert.ErrorContains(t, Forward(context.Background(), in, "127.0.0.1:0"), "servers' addresses expected")
+}
