--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -78,8 +78,8 @@
 		}
 		for _, f := range figures {
 			fmt.Printf("%5d servers  %-9s %7.0f set-ups/s (%d failed) %7.0f a CPU second  line p50 %.3f p99 %.3f "+
-				"p99.9 %.3f ms  %.1f us CPU a line  %.0f bytes a link\n", f.Servers, f.Way, f.PerSecond, f.Failed,
-				f.PerCPU, f.P50, f.P99, f.P999, f.LineCPU, f.Memory)
+				"p99.9 %.3f ms  %.1f us CPU a line  %.0f bytes a link (%d)\n", f.Servers, f.Way, f.PerSecond, f.Failed,
+				f.PerCPU, f.P50, f.P99, f.P999, f.LineCPU, f.Memory, f.Idle)
 		}
 		all = append(all, figures...)
 	}
--- a/internal/lab/cost/cost.go
+++ b/internal/lab/cost/cost.go
@@ -40,6 +40,7 @@
 	Lines          int64   `json:"lines"`
 	LineCPU        float64 `json:"cpu-microseconds-a-line,omitempty"`
 	Memory         float64 `json:"bytes-a-link,omitempty"`
+	Idle           int     `json:"links-for-that,omitempty"`
 }
 
 // Plan says how much is measured.
@@ -188,7 +189,7 @@
 		all[w] = &Figures{Way: w.name, Servers: p.Servers}
 		lines[w] = hdrhistogram.New(1, 60_000_000, 3)
 		if w.cmd != nil && p.Idle > 0 { // first, as a process keeps what it once had
-			if all[w].Memory, err = w.memory(p.Idle); err != nil {
+			if all[w].Memory, all[w].Idle, err = w.memory(p.Idle); err != nil {
 				return nil, fmt.Errorf("%s: %w", w.name, err)
 			}
 		}
@@ -294,8 +295,9 @@
 	return first
 }
 
-// memory is what the way's process holds more for each link that stands.
-func (w *way) memory(links int) (float64, error) {
+// memory is what the way's process holds more for each link that stands: so many, or as many as its descriptors
+// allow.
+func (w *way) memory(links int) (each float64, stood int, err error) {
 	_, before := w.use()
 	var open []net.Conn
 	defer func() {
@@ -305,14 +307,16 @@
 	}()
 	for range links {
 		c, _, err := w.open()
-		if err != nil {
-			return 0, fmt.Errorf("after %d links: %w", len(open), err)
+		if err != nil && len(open) == 0 {
+			return 0, 0, err
+		} else if err != nil {
+			break
 		}
 		open = append(open, c)
 	}
 	time.Sleep(500 * time.Millisecond)
 	_, after := w.use()
-	return (after - before) / float64(links), nil
+	return (after - before) / float64(len(open)), len(open), nil
 }
 
 func (w *way) stop() {
@@ -433,8 +437,11 @@
 	context.AfterFunc(ctx, func() { l.Close() })
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		if ctx.Err() != nil {
 			return nil
+		} else if err != nil { // out of descriptors
+			time.Sleep(10 * time.Millisecond)
+			continue
 		}
 		go func() {
 			defer c.Close()
