--- a/cmd/valeshift/main_test.go
+++ b/cmd/valeshift/main_test.go
@@ -280,10 +280,11 @@
 	r := start(t, 0, b1)
 	client, server := r.stands(b1)
 	r.list.set(r.list.entry("b1", b1.address, "active")) // versions of the next count from 1
-	for _, c := range []struct{ text, field string }{{`{"name":`, "config.json"}, {"", "config.json"},
+	for i, c := range []struct{ text, field string }{{`{"name":`, "config.json"}, {"", "config.json"},
 		{strings.Replace(r.list.config(0), `"seed"`, `"seeds"`, 1), "seed"},
 		{strings.Replace(r.list.config(0), `"probes":true`, `"probes":7`, 1), "limits.probes"}} {
 		r.reload(c.text)
+		r.wait(fmt.Sprintf(`(?s)(reload refused.*){%d}`, i+1)) // each is read before the next replaces it
 		r.wait(`reload refused.*` + c.field)
 	}
 	former, next := r.list, newList(t, b1, b2)
--- a/internal/lab/hunt/hunt_test.go
+++ b/internal/lab/hunt/hunt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -19,7 +20,9 @@
 	binary := filepath.Join(t.TempDir(), "valelab")
 	said, err := exec.Command("go", "build", "-o", binary, "valeshift/cmd/valelab").CombinedOutput()
 	require.NoError(t, err, "%s", said)
-	said, err = exec.Command(binary, "hunt", "--count", "200", "--shrink", "0", "--out", t.TempDir()).CombinedOutput()
+	cmd := exec.Command(binary, "hunt", "--count", "200", "--shrink", "0", "--out", t.TempDir())
+	cmd.Env = append(os.Environ(), "GOMAXPROCS=3") // other packages' tests run beside this one
+	said, err = cmd.CombinedOutput()
 	require.NoError(t, err, "%s", said)
 	assert.Contains(t, string(said), "200 seeds from 1 on")
 	assert.Contains(t, string(said), "0 break a rule")
