A list that goes back is asked for whole at once, not after a wait

A discovery that lost its versions told a drain with a version below the relay's; the relay dropped that and asked again after its growing wait, so that links went to draining servers for 600 ms after they were told. It asks for the whole list at once now, a single time.

--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -175,8 +175,14 @@
 		return
 	}
 	if e.News.Index < r.index && (r.asked > 0 || !e.News.Whole) {
-		// Against a list older than the one held: the next watch asks for all of it.
+		// Against a list older than the one held: all of it is asked for. At once, where this one began elsewhere:
+		// a discovery that counts anew may have told a drain just now.
 		r.index = 0
+		if r.asked > 0 {
+			r.note("version went back", "to", e.News.Index)
+			r.watch()
+			return
+		}
 		r.do(Effect{Do: Unwatch})
 		r.listFailed("version went back")
 		return
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -468,12 +468,14 @@
 		step{5501, "news 1 9 whole", ""}, step{7000, "tick", "watch 2 after 0"},
 		step{7001, "news 2 9 whole b1=active", ""}, step{7002, "failed 1", ""},
 		step{7003, "failed 2", ""}, step{9000, "tick", "watch 3 after 9"},
-		step{9001, "news 3 8 delta b1=leaving", "unwatch"}, step{12000, "tick", "watch 4 after 0"},
-		step{12001, "news 4 3 whole b1=active b2=active", ""})
+		step{9001, "news 3 8 delta b1=leaving", "watch 4 after 0"}, // at once: it may have told a drain
+		step{9002, "news 4 3 whole b1=active b2=active", ""},
+		step{9003, "news 4 2 delta b1=leaving", "unwatch"}, // and not at once for ever
+		step{12001, "tick", "watch 5 after 0"}, step{12001, "news 5 3 whole b1=active b2=active", ""})
 	assert.Equal(t, uint64(3), s.index, "a list that was asked for whole may go back")
 	s.named("b1").Entry.Bad = ""
 	bad := []Entry{{Name: "b1", Status: "odd", Bad: "status"}, {Name: "b2", Status: "left"}}
-	s.Take(12002, Event{Kind: ListNews, Conn: 4, News: &News{Index: 4, Whole: true, Entries: bad}})
+	s.Take(12002, Event{Kind: ListNews, Conn: 5, News: &News{Index: 4, Whole: true, Entries: bad}})
 	assert.Equal(t, logic.Ready, s.named("b1").condition, "what was known of a bad entry stays")
 	assert.Equal(t, logic.Gone, s.named("b2").condition)
 }
