--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -60,7 +60,8 @@
 		s = &link{server: -1}
 		m.state[l] = s
 	}
-	if s.tries >= m.mostTries || now >= l.Limit || (s.ran && m.categories[l.Category].Effect != logic.Replayable) {
+	once := s.ran && m.categories[l.Category].Effect != logic.Replayable
+	if s.tries >= m.mostTries || now >= l.Limit || once {
 		return m.end(l, s)
 	}
 	server := m.choose(s.server)
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -119,8 +119,8 @@
 	return found
 }
 
-// Hunt plays the experiments of the seeds from one on to another, not itself, on all cores, and calls back for
-// each that breaks a rule, in the order they are met, and after each played with how many are.
+// Hunt plays the experiments of the seeds from one on to another, not itself, on all cores, and calls back
+// for each that breaks a rule, in the order they are met, and after each played with how many are.
 func Hunt(ctx context.Context, from, to uint64, found func(*Found), played func(n int)) {
 	seeds := make(chan uint64)
 	go func() {
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -175,9 +175,10 @@
 // configure writes the relay's configuration.
 func (r *Run) configure(p *process) error {
 	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("relay-%d", p.number), "listen": p.address,
-		"discovery": p.lists[p.using], "seed": strconv.FormatUint(r.x.Chance("relay", p.number*1000+p.turn).Uint64(), 16),
-		"limits":   map[string]any{"cores": 1, "memory_mb": 0, "sockets": r.x.Relays.Sockets},
-		"settings": r.x.Told(p.number % r.x.Fleet.Zones)})
+		"discovery": p.lists[p.using],
+		"seed":      strconv.FormatUint(r.x.Chance("relay", p.number*1000+p.turn).Uint64(), 16),
+		"limits":    map[string]any{"cores": 1, "memory_mb": 0, "sockets": r.x.Relays.Sockets},
+		"settings":  r.x.Told(p.number % r.x.Fleet.Zones)})
 	if err != nil {
 		return err
 	}
@@ -194,7 +195,8 @@
 		return err
 	}
 	p.cmd = exec.Command(r.binary)
-	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.file(p), "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_DISCOVERY=")
+	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.file(p), "RELAY_NAME=", "RELAY_LISTEN=",
+		"RELAY_DISCOVERY=")
 	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
 		return fmt.Errorf("relay: %w", err)
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -356,7 +356,8 @@
 	})
 }
 
-// push counts what a cold server is sent; pushed over, it falls. A link is whole: the heaviest may come on top.
+// push counts what a cold server is sent; pushed over, it falls. A link is whole: the heaviest may come on
+// top.
 func (s *Server) push(now, load, capacity float64) bool {
 	s.pushed = append(s.pushed, push{now, load})
 	sum, heaviest := 0.0, 0.0
--- a/internal/lab/model/tally.go
+++ b/internal/lab/model/tally.go
@@ -8,7 +8,7 @@
 
 // Second is what was counted in one second of a run.
 type Second struct {
-	Wanted, Served              float64 // gain of lines that clients meant to send, and that were answered in time
+	Wanted, Served              float64 // gain of lines meant to be sent, and of those answered in time
 	Setups, Rejected, Errored   int     // answers
 	Unanswered, Cut, Standing   int
 	Spread, MeanUtil, WorstUtil float64 // of the servers that serve
@@ -52,7 +52,8 @@
 	h.RecordValue(int64(min(max(ms*1000, 1), longestSeen)))
 }
 
-// Service is the part of the wanted gain that was served between two times of the run; 1 where none was wanted.
+// Service is the part of the wanted gain that was served between two times of the run; 1 where none was
+// wanted.
 func (t *Tally) Service(from, to float64) float64 {
 	wanted, served := 0.0, 0.0
 	for i, s := range t.Seconds {
--- a/internal/lab/sim/net.go
+++ b/internal/lab/sim/net.go
@@ -124,7 +124,8 @@
 
 // passes tells whether anything gets from one node to the other.
 func (n *network) passes(a, b *node) bool {
-	return !a.dark && !b.dark && (a.zone == b.zone || a.zone < 0 || b.zone < 0 || !(n.cut[a.zone] || n.cut[b.zone]))
+	together := a.zone == b.zone || a.zone < 0 || b.zone < 0
+	return !a.dark && !b.dark && (together || !(n.cut[a.zone] || n.cut[b.zone]))
 }
 
 // carry brings something from one node to another, once the way is open.
--- a/logic/due.go
+++ b/logic/due.go
@@ -5,8 +5,9 @@
 	"slices"
 )
 
-// This file is bookkeeping that keeps questions from looking at every server: which is to be probed next, which
-// are cold, how many can be used. Each change of a server's state that these rest on is followed by touch.
+// This file is bookkeeping that keeps questions from looking at every server: which is to be probed next,
+// which are cold, how many can be used. Each change of a server's state that these rest on is followed by
+// touch.
 
 // waiting keeps servers in a heap by when a probe is due at the shortest time between two.
 type waiting struct {
