The lab reads a process's use, finds a free port and the relay's program in one place

Seen on a last read: cost and live each read the process table and sought free ports by code of their own, two commands found the relay's program alike, and four pieces of the model and the network were called by nobody. No change in what they do; the lab's tests pass.

--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -59,9 +59,9 @@
 	if err != nil {
 		return err
 	}
-	relay := c.Relay
-	if relay == "" {
-		relay = filepath.Join(filepath.Dir(own), "valeshift")
+	relay, err := program(c.Relay)
+	if err != nil {
+		return err
 	}
 	dir, err := os.MkdirTemp("", "valelab")
 	if err != nil {
@@ -103,6 +103,15 @@
 	asked.FatalIfErrorf(asked.Run())
 }
 
+// program is the relay's: the one that is named, or valeshift beside this one.
+func program(named string) (string, error) {
+	if named != "" {
+		return named, nil
+	}
+	own, err := os.Executable()
+	return filepath.Join(filepath.Dir(own), "valeshift"), err
+}
+
 // out says where a report goes.
 type out struct {
 	Report string `help:"Write the report to this path, as NAME.html and NAME.json." placeholder:"NAME" type:"path"`
@@ -231,13 +240,9 @@
 }
 
 func (c *loadCommand) play(ctx context.Context, x *experiment.Experiment) error {
-	binary := c.Relay
-	if binary == "" {
-		own, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		binary = filepath.Join(filepath.Dir(own), "valeshift")
+	binary, err := program(c.Relay)
+	if err != nil {
+		return err
 	}
 	dir := c.Logs
 	if dir == "" {
--- a/internal/lab/cost/cost.go
+++ b/internal/lab/cost/cost.go
@@ -17,7 +17,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +25,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"valeshift/internal/lab/experiment"
+	"valeshift/internal/lab/proc"
 )
 
 // Figures are what one way through came to.
@@ -124,15 +124,8 @@
 	if w.cmd == nil {
 		return 0, 0
 	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.cmd.Process.Pid))
-	if err != nil {
-		return 0, 0
-	}
-	f := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
-	user, _ := strconv.ParseFloat(f[11], 64)
-	system, _ := strconv.ParseFloat(f[12], 64)
-	pages, _ := strconv.ParseFloat(f[21], 64)
-	return (user + system) / 100, pages * float64(os.Getpagesize())
+	cpu, held := proc.Usage(w.cmd.Process.Pid)
+	return cpu, float64(held)
 }
 
 var ids atomic.Uint64
@@ -349,17 +342,8 @@
 	return nil, fmt.Errorf("%s does not serve; its log is %s", name, log)
 }
 
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func startForwarder(ctx context.Context, p Plan, s *servers) (*way, error) {
-	address, err := free()
+	address, err := proc.Free()
 	if err != nil {
 		return nil, err
 	}
@@ -369,7 +353,7 @@
 }
 
 func startRelay(ctx context.Context, p Plan, s *servers) (*way, error) {
-	address, err := free()
+	address, err := proc.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -1,7 +1,6 @@
 package live
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +18,7 @@
 	"valeshift/internal/lab/audit"
 	"valeshift/internal/lab/experiment"
 	"valeshift/internal/lab/model"
+	"valeshift/internal/lab/proc"
 	"valeshift/internal/relay"
 )
 
@@ -108,7 +108,9 @@
 	}
 	result := &Result{Memory: map[int]int64{}, CPU: map[int]float64{}, Logs: dir}
 	for _, p := range r.relays {
-		result.Memory[p.number], result.CPU[p.number] = usage(p)
+		if p.cmd != nil && p.cmd.Process != nil {
+			result.CPU[p.number], result.Memory[p.number] = proc.Usage(p.cmd.Process.Pid)
+		}
 	}
 	r.mutex.Lock()
 	r.world.Crowd.Close()
@@ -133,31 +135,12 @@
 	}
 }
 
-// usage reads a process's resident memory, and its CPU time in seconds.
-func usage(p *process) (resident int64, cpu float64) {
-	if p.cmd == nil || p.cmd.Process == nil {
-		return 0, 0
-	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
-	if err != nil {
-		return 0, 0
-	}
-	fields := bytes.Fields(text[bytes.LastIndexByte(text, ')')+1:])
-	number := func(i int) int64 {
-		v, _ := strconv.ParseInt(string(fields[i]), 10, 64)
-		return v
-	}
-	return number(21) * int64(os.Getpagesize()), float64(number(11)+number(12)) / 100
-}
-
 // prepare gives a relay its address and two discoveries of its own, so that each knows whom it tells.
 func (r *Run) prepare(p *process) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0") // a free port, given back to the relay
-	if err != nil {
+	var err error
+	if p.address, err = proc.Free(); err != nil {
 		return err
 	}
-	p.address = l.Addr().String()
-	l.Close()
 	for i := range p.lists {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/lab/model/catalogue.go
+++ b/internal/lab/model/catalogue.go
@@ -48,9 +48,6 @@
 	c.host.After(c.Late, c.tell)
 }
 
-// Get gives an entry as it is now.
-func (c *Catalogue) Get(name string) relay.Entry { return c.entries[name] }
-
 // Whole is the list as it is now.
 func (c *Catalogue) Whole() *relay.News {
 	n := &relay.News{Index: c.index, Whole: true}
--- a/internal/lab/model/tally.go
+++ b/internal/lab/model/tally.go
@@ -22,7 +22,6 @@
 	Line    map[string]*hdrhistogram.Histogram // from when the line was meant to go
 	Heads   int                                // links asked for
 	Answers map[string]int                     // by verb, with "none" and "cut"
-	Pushed  int                                // times a cold server fell over
 	Behind  float64                            // the most that the lab was late with what it meant to do
 }
 
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand"
-	"slices"
 
 	"valeshift/internal/lab/experiment"
 	"valeshift/internal/relay"
@@ -407,15 +406,3 @@
 	}
 	return n
 }
-
-// Loads are the present loads of all servers that serve, in order.
-func (w *World) Loads() (all []float64) {
-	now := w.host.Now()
-	for _, s := range w.Servers {
-		if !s.Dead && !s.Draining {
-			all = append(all, s.Util(now))
-		}
-	}
-	slices.Sort(all)
-	return all
-}
--- a/internal/lab/sim/net.go
+++ b/internal/lab/sim/net.go
@@ -284,13 +284,6 @@
 	}
 }
 
-// die ends all connections as a process does that is killed.
-func (d *node) die() {
-	for _, conn := range sorted(d.ends) {
-		d.end(conn, true)
-	}
-}
-
 // host is what the model's actors see of a node.
 type host struct{ *node }
 
