Links of a server that goes are moved by chance over 3 s, not at once at every relay

Counted over all eighty relays' logs, by second.

Checked: each relay holds one or two links, so `Leave` (logic.go), which puts the nth of its links at n/of of 1.5 s, gives the first of each relay nothing to wait: all are the first. Ruled out: late lists (all relays are told within 10 ms), set-up limits (none was narrowed), probes (answered within 20 ms, but the figures in them are a second old, so the wave meets one and the same figure).

Change: within its part of the time a link goes by chance, where there are other relays (not at all with one relay, half with two); and the time is 3 s. A stop of the relay keeps its 1.5 s.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -55,7 +55,8 @@
 	shedPart   = 1.0 / 16 // of the set-ups out at once, then
 	timely     = 0.5      // of the promised time, within which a set-up shows that no store is overrun
 	silentFor  = 1000.0   // after which one that doesn't answer probes either is lost, with its links
-	leaveOver  = 1500.0   // over which links are told that must go
+	leaveOver  = 3000.0   // over which links are told that must go, as their server does
+	stopOver   = 1500.0   // and as this relay stops
 	askPart    = 0.8      // of the time after which silence counts as told
 	askRelay   = 1000.0   // between two relays' asking of the list anew
 	askSpread  = 20.0     // between two relays' first asking
@@ -560,13 +561,17 @@
 
 // Leave says how long the nth of so many links that must go is left where it is: to the end of what a stop
 // leaves, as a relay stopped before may not be back yet, or as a server goes (0). Paced against a fleet that
-// is placed anew by one late report: they come again at once.
+// is placed anew by one late report: they come again at once. By chance within its part of the time where there
+// are other relays, against many with a link each: every one is its relay's first, and all go in one moment.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
-	over := min(cmp.Or(within, leaveOver), leaveOver)
+	over := leaveOver
 	if within > 0 && b.shares.relays < 2 {
 		return within // nobody else takes them
+	} else if within > 0 {
+		over = min(within, stopOver)
 	}
-	return max(within-over, 0) + over*float64(nth)/float64(of)
+	lot := b.turns.chance.Float64() * (1 - 1/b.shares.relays)
+	return max(within-over, 0) + over*(float64(nth)+lot)/float64(of)
 }
 
 // dueAt is when a server that was asked is asked again.
