Cold servers take what warm ones have no room for, once their figures tell

Seen: in join+vast four of six servers are replaced; from then on 10 to 25 of some 50 to 80 clients are turned away for twelve seconds, and the two warm servers stand at 1.0 to 1.2 with 60 to 70 links on them, while the four new ones report 0.00 to 0.10 (counted over all relays, by second, from their logs).

Checked: 126 of 127 links turned away had no cold server drawn by `allow` (logic.go). Each relay meets a link every 5 to 16 s, its part of the budget was saved for 4.5 s, and a first link found no budget at all, as the capacity was not reckoned before (`Place`).

Change: once a server is older than the span in which it can fall and a report's time, its budget is ten times as wide; what passes the even share goes there only where no warm server has room; the chance is saved for two spans; a first link has its capacity reckoned; and a link weighs more on a cold server by the part that it can do.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,7 @@
 	drafted    = 5       // servers that a link is chosen among, where the whole fleet can't be kept in use
 	patience   = 0.1     // of its promised time, that a link waits for their answers
 	linkEvery  = 2000.0  // a server is held to be sent one link in this time, until arrivals tell
+	seenPace   = 10.0    // times the pace at which a cold server is filled, once its figure tells of it
 	nearLoad   = 0.40    // below this, a server of the own zone comes first where crossing is paid for
 	nearFee    = 4.0     // and by how much more for a fee of one
 	farFee     = 20.0    // how much later one across zones is drawn to be asked, for a fee of one
@@ -97,7 +98,10 @@
 
 // allow draws the cold server that a link may go to, or -1. Against hundreds of relays that each spend a link
 // at once: over the time since the last link, the chance comes to this relay's part of what fills cold
-// servers over their warm-up, to an even share at most. Little is saved up, for the same reason.
+// servers over their warm-up. To an even share at most; beyond it the link may go there only where no warm one
+// has room. Little is saved up, for the same reason. Once the span in which a server can fall is over, and a
+// report's time, what all relays sent it shows in its figure, which is asked first: then the budget is wider,
+// against hundreds of relays that seldom have a link leaving servers idle which they turn clients away from.
 func (b *Balancer) allow(now float64, l *Link) int {
 	w, mark := b.warmup, b.mark(l)
 	sum, cold, all, pick, least := 0.0, 0.0, float64(b.track.usable), -1, math.Inf(1)
@@ -106,15 +110,19 @@
 			continue
 		}
 		part := w.part(s, now)
+		if now >= w.since[s]+w.span+reportLag {
+			part *= seenPace
+		}
 		cold, sum = cold+1, sum+part
 		if d := draw(mark, b.ids[s]) / part; d < least {
 			pick, least = s, d
 		}
 	}
 	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
-	due := sum * pace * min(now-w.asked, 1.5*w.span) / max(l.load/b.shares.loadMean, 0.1)
+	due := sum * pace * min(now-w.asked, 2*w.span) / max(l.load/b.shares.loadMean, 0.1)
 	w.asked = now
-	if pick >= 0 && b.turns.chance.Float64() < min(due, cold/all) {
+	if lot := b.turns.chance.Float64(); pick >= 0 && lot < due {
+		l.spare = lot >= cold/all
 		return pick
 	}
 	return -1
@@ -245,7 +253,7 @@
 			// Against links on servers that leave, held against the others' loads: they make all look larger.
 			ready, own, fresh = ready+1, own+b.linkLoads[s], fresh+b.probing.fresh[s]
 			if !math.IsNaN(b.probing.load[s]) {
-				sum, known = sum+b.load(s), known+1
+				sum, known = sum+b.load(s, now), known+1
 			}
 		}
 	}
@@ -270,7 +278,7 @@
 	for s, c := range b.condition {
 		b.turns.counts[s] = 0
 		if c == Ready && b.health.good(s) && (b.part >= 1 || now < b.probing.heardAt[s]+slowest) {
-			b.turns.counts[s] = buckets(b.load(s), b.mean)
+			b.turns.counts[s] = buckets(b.load(s, now), b.mean)
 		}
 	}
 	b.turns.build(now)
@@ -321,13 +329,15 @@
 }
 
 // load is the server's figure with what was put there since: against a wave that all follows one late figure.
-func (b *Balancer) load(s int) float64 {
+func (b *Balancer) load(s int, now float64) float64 {
 	l := b.probing.load[s]
 	if math.IsNaN(l) {
 		l = b.mean
 	}
 	others := b.shares.relays - 1
-	return l + b.probing.fresh[s]*(1+othersPart*others/(1+others/herd))/cmp.Or(b.capacity, math.Inf(1))
+	fresh := b.probing.fresh[s] * (1 + othersPart*others/(1+others/herd))
+	// A cold server's figure is of what it can do now, so a link weighs more there.
+	return l + fresh/cmp.Or(b.capacity*b.warmup.part(s, now), math.Inf(1))
 }
 
 // Place says where to send this link, or not yet, or never.
@@ -335,6 +345,10 @@
 	if !l.known {
 		l.known, l.came, l.ran, l.server, l.lot = true, now, -1, -1, b.turns.chance.Uint64()
 		b.guess(l)
+		if b.capacity == 0 {
+			b.part, _ = b.spread()
+			b.refresh(now) // against a relay's first link, often its only one, finding no budget for cold servers
+		}
 		l.cold = b.allow(now, l)
 	}
 	if !b.effects.again(l, now) {
@@ -390,7 +404,7 @@
 	avoid := l.server
 	open := func(s int) bool {
 		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
-			(s == l.cold && l.tries == 0 || b.warmup.part(s, now) >= 1)
+			(s == l.cold && l.tries == 0 && !l.spare || b.warmup.part(s, now) >= 1)
 	}
 	bound := room - roomBlind*(1-b.part) + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
 	bounds := [...]float64{nearLoad + nearFee*b.crossing, max(calmLoad, b.mean), bound, bound}
@@ -399,8 +413,11 @@
 		bounds = [...]float64{bound, bound, bound, bound}
 	}
 	weight := l.load / cmp.Or(b.capacity, math.Inf(1)) // nothing, while nothing is known
-	fits := func(s int, limit float64) bool { return open(s) && b.load(s)+weight < min(limit, bound) }
-	if l.cold >= 0 && b.turns.counts[l.cold] > 0 && fits(l.cold, bound) {
+	fits := func(s int, limit float64) bool {
+		return open(s) && b.load(s, now)+weight/b.warmup.part(s, now) < min(limit, bound)
+	}
+	chosen := func() bool { return l.cold >= 0 && b.turns.counts[l.cold] > 0 && fits(l.cold, bound) }
+	if chosen() {
 		return l.cold, false
 	}
 	for i, limit := range bounds {
@@ -415,7 +432,13 @@
 			return s, false
 		}
 	}
-	return -1, b.turns.next(open) >= 0
+	full := b.turns.next(open) >= 0
+	if l.spare {
+		if l.spare = false; chosen() {
+			return l.cold, false
+		}
+	}
+	return -1, full
 }
 
 // turn takes the next bucket that may have the link, or the one that its group draws with the same chances:
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -261,8 +261,7 @@
 			for i := range c.links {
 				now := start + c.span*(float64(i)+b.turns.chance.Float64())/float64(c.links)
 				l := arrive(now)
-				b.Place(now, l)
-				if l.cold == 3 {
+				if sendAsked(b, now, l, []float64{0.4, 0.4, 0.4, 0}).Backend == 4 {
 					times[int((now-start)/2000)]++
 				}
 			}
@@ -275,6 +274,49 @@
 	}
 }
 
+// sendAsked places a link, with every server that is asked answering at once.
+func sendAsked(b *Balancer, now float64, l *Link, loads []float64) Answer {
+	a := b.Place(now, l)
+	for d := b.Next(now); d.Probing; d = b.Next(now) {
+		b.Probed(now, d.Probe, true, []float64{0, loads[d.Probe-1]})
+	}
+	if a.Verdict == Hold {
+		a = b.Place(now, l)
+	}
+	return a
+}
+
+// Against a release after which eighty relays turn clients away for twelve seconds, as each has a link too
+// seldom to spend its part of the budget: once its figure can tell of what all sent, a cold server takes what
+// warm ones have no room for. Before that it stays within the budget, whoever else is full.
+func TestColdServerTakesWhatWarmOnesHaveNoRoomFor(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		age          float64
+		cold         float64 // its figure
+		least, most  int     // of eighty
+		warm, placed float64 // figure of the others; links of its own there of late
+	}{
+		{"just started", 1000, 0, 0, 24, 0.9, 0}, // what it can take in the span
+		{"its figure tells", 6000, 0.1, 60, 80, 0.9, 0},
+		{"it is full as well", 6000, 0.9, 0, 0, 0.9, 0},
+		{"warm ones have room: an even share", 6000, 0.1, 10, 40, 0.3, 0},
+		{"links weigh by the part that it can do", 6000, 0.1, 0, 0, 0.9, 100},
+	} {
+		sent := 0
+		for seed := range int64(80) {
+			b := fleet{Loads: []float64{c.warm, c.warm, c.warm, c.cold}, Cold: start, Relays: 80, Seed: seed}.build(t)
+			now := start + c.age
+			b.probing.since[3] = []placed{{now - 100, c.placed / 20}}
+			if sendAsked(b, now, arrive(now), []float64{c.warm, c.warm, c.warm, c.cold}).Backend == 4 {
+				sent++
+			}
+		}
+		assert.GreaterOrEqual(t, sent, c.least, c.name)
+		assert.LessOrEqual(t, sent, c.most, c.name)
+	}
+}
+
 // Against hundreds of relays that each keep a whole fleet in use: a link has a few servers asked as it comes,
 // and goes to one that answered.
 func TestLinksAskAsTheyCome(t *testing.T) {
--- a/logic/types.go
+++ b/logic/types.go
@@ -84,6 +84,7 @@
 
 	lot     uint64  // its own mark, where no group or key draws it
 	cold    int     // the cold server that it may go to, or -1
+	spare   bool    // only where no warm one has room
 	drafted []int   // servers asked for it
 	patient float64 // clock time until which their answers are waited for, or 0
 }
