The cold servers' test names its relays in a column, not by the sign of an age

Found on reading the change again: an age below zero stood for four relays. Cases and bounds are unchanged, no code of the program is touched; the package's tests pass.

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -292,27 +292,24 @@
 func TestColdServerTakesWhatWarmOnesHaveNoRoomFor(t *testing.T) {
 	for _, c := range []struct {
 		name         string
-		age          float64 // negative: under four relays, not eighty
+		relays       int
+		age          float64
 		cold         float64 // its figure
 		least, most  int     // of eighty
 		warm, placed float64 // figure of the others; links of its own there of late
 	}{
-		{"just started", 1000, 0, 0, 24, 0.9, 0}, // what it can take in the span
-		{"its figure tells", 6000, 0.1, 60, 80, 0.9, 0},
-		{"it is full as well", 6000, 0.9, 0, 0, 0.9, 0},
-		{"warm ones have room: an even share", 6000, 0.1, 10, 40, 0.3, 0},
-		{"links weigh by the part that it can do", 6000, 0.1, 0, 0, 0.9, 100},
+		{"just started", 80, 1000, 0, 0, 24, 0.9, 0}, // what it can take in the span
+		{"its figure tells", 80, 6000, 0.1, 60, 80, 0.9, 0},
+		{"it is full as well", 80, 6000, 0.9, 0, 0, 0.9, 0},
+		{"warm ones have room: an even share", 80, 6000, 0.1, 10, 40, 0.3, 0},
+		{"links weigh by the part that it can do", 80, 6000, 0.1, 0, 0, 0.9, 100},
 		// Against figures a second old: found by drawn experiments, where a wave pushed a cold server over.
-		{"few relays, that do not ask for each link", -6000, 0.1, 0, 35, 0.9, 0},
+		{"few relays, that do not ask for each link", 4, 6000, 0.1, 0, 35, 0.9, 0},
 	} {
-		relays, age := 80, c.age
-		if age < 0 {
-			relays, age = 4, -age
-		}
 		sent := 0
 		for seed := range int64(80) {
-			b := fleet{Loads: []float64{c.warm, c.warm, c.warm, c.cold}, Cold: start, Relays: relays, Seed: seed}.build(t)
-			now := start + age
+			b := fleet{Loads: []float64{c.warm, c.warm, c.warm, c.cold}, Cold: start, Relays: c.relays, Seed: seed}.build(t)
+			now := start + c.age
 			b.probing.since[3] = []placed{{now - 100, c.placed / 20}}
 			if sendAsked(b, now, arrive(now), []float64{c.warm, c.warm, c.warm, c.cold}).Backend == 4 {
 				sent++
