Operators' calls over HTTP: ready, figures, and a lame duck that empties the relay

Ruled out: that PING alone was at fault (there was no listener, no figures, nothing that moves what stands). Change: internal/ops on net/http, bounded in callers and time; LameDuck, an event that empties as a stop does (standing.go, empty) and is taken back; figures counted in the reducer and published on a board that calls read without the relay's lock; the module's Census, what it avoids now, kept by touch.

--- a/cmd/valeshift/helpers_test.go
+++ b/cmd/valeshift/helpers_test.go
@@ -152,6 +152,7 @@
 	status  int // of the next calls, where not 0
 	calls   int
 	changed chan struct{}
+	ops     string // where operators call, in configurations
 }
 
 func (l *list) entry(name, address, status string) string {
@@ -259,7 +260,7 @@
 // config is a configuration that names this discovery.
 func (l *list) config(sockets int) string {
 	known, _ := l.text()
-	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
+	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "ops": l.ops,
 		"discovery": l.address, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
 		"known":  json.RawMessage(known), "settings": json.RawMessage(told)})
@@ -286,7 +287,7 @@
 	r := &process{t: t, cmd: exec.Command(program), config: path, done: make(chan struct{})}
 	var file struct{ Discovery string }
 	json.Unmarshal([]byte(config), &file) // the environment has it too, as in service
-	r.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=", "RELAY_LISTEN=",
+	r.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_OPS=",
 		"RELAY_DISCOVERY="+file.Discovery)
 	r.cmd.Stderr = r
 	require.NoError(t, r.cmd.Start())
--- a/cmd/valeshift/main_test.go
+++ b/cmd/valeshift/main_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -344,3 +348,66 @@
 		assert.Contains(t, r.text(), field)
 	}
 }
+
+// Operators are answered within their second while clients flood the relay and callers stall, the figures are
+// what the peers saw, and a drained relay empties itself and comes back.
+func TestOperatorsCalls(t *testing.T) {
+	b := newBackend(t, "b1")
+	l := newList(t, b)
+	l.ops = "127.0.0.1:0"
+	r := run(t, l.config(200))
+	address := r.wait(`msg="operators' calls" listen=(\S+)`)[1]
+	r.address = r.wait(`msg=serving .*listen=(\S+)`)[1]
+	client, _ := r.stands(b)
+	for range 20 {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		defer c.Close()
+		c.Write([]byte("GET /_vars HTTP/1.1\r\n"))
+	}
+	stop := make(chan struct{})
+	var flood sync.WaitGroup
+	for range 8 {
+		flood.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", r.address); err == nil {
+					c.Write([]byte(strings.Repeat("PING\r\n", 100)))
+					c.Close()
+				}
+			}
+		})
+	}
+	call := func(method, path string) string {
+		t.Helper()
+		request, err := http.NewRequest(method, "http://"+address+path, nil)
+		require.NoError(t, err)
+		from := time.Now()
+		answer, err := (&http.Client{Timeout: time.Second, Transport: &http.Transport{}}).Do(request)
+		require.NoError(t, err, "after %v", time.Since(from))
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		require.NoError(t, err)
+		return fmt.Sprint(answer.StatusCode, " ", string(body))
+	}
+	for range 20 {
+		assert.Contains(t, call("GET", "/_vars"), "relay.served.feed:1|c\nrelay.refused.feed:0|c\n")
+		assert.Equal(t, "200 ready\n", call("GET", "/_ready"))
+	}
+	close(stop)
+	flood.Wait()
+	assert.Contains(t, call("POST", "/_lameduck/on"), "200")
+	assert.Contains(t, call("GET", "/_ready"), "503")
+	assert.Equal(t, []string{"MOVE", "end"}, []string{client.hear(), client.hear()})
+	assert.Contains(t, call("GET", "/_vars"), "relay.attempts:1|c\nrelay.in_flight:0|g\nrelay.backends_known:1|g\n")
+	assert.Contains(t, call("POST", "/_lameduck/off"), "200")
+	assert.Contains(t, call("GET", "/_ready"), "200")
+	r.stands(b)
+	r.signal(syscall.SIGTERM)
+	r.wait("msg=stopping")
+	assert.Contains(t, call("POST", "/_lameduck/off"), "409")
+}
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -54,6 +54,7 @@
 	Lost(id uint32, quiet float64) bool
 	View(id uint32) (links int, heard float64, out bool)
 	Knows(category int) bool
+	Census() (listed, avoided int)
 }
 
 // Table is what one relay has in hand.
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -229,3 +229,13 @@
 
 // Knows tells whether there is such a category.
 func (m *Module) Knows(category int) bool { return category < len(m.categories) }
+
+// Census counts the servers listed, and those of them that no link is sent to.
+func (m *Module) Census() (listed, avoided int) {
+	for s := range m.ids {
+		if !m.ready[s] {
+			avoided++
+		}
+	}
+	return len(m.ids), avoided
+}
--- /dev/null
+++ b/internal/ops/ops.go
@@ -0,0 +1,99 @@
+// Package ops is where operators call: HTTP/1.1, four calls, one to a connection. It turns calls into what
+// its Relay does and writes out the figures that were published last. It must never wait for a client's
+// traffic, look at the relay's state itself, or act on who calls.
+package ops
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// Files is how many descriptors the operators' calls may hold, their listener included.
+	Files    = mostOpen + 2 // one while the next is accepted and the longest open is let go
+	mostOpen = 16
+	callTime = 2 * time.Second // for a call to come, and again for its answer to be taken; callers wait one
+	headSize = 4 << 10
+)
+
+// Figure is one published figure. A counter only grows; any other goes up and down.
+type Figure struct {
+	Name    string
+	Value   uint64
+	Counter bool
+}
+
+// Relay is what is asked. None of it may wait for more than one event of the relay.
+type Relay interface {
+	Ready() bool
+	Figures() []Figure
+	// LameDuck empties the relay, or takes it back to work; an error says why that can't be.
+	LameDuck(on bool) error
+}
+
+// Serve answers calls at the listener until that is closed.
+func Serve(listener net.Listener, relay Relay, log *slog.Logger) {
+	open := &callers{}
+	server := &http.Server{Handler: handler(relay), ReadTimeout: callTime, WriteTimeout: callTime,
+		MaxHeaderBytes: headSize, ConnState: open.changed,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	server.SetKeepAlivesEnabled(false)
+	log.Info("operators' calls", "listen", listener.Addr().String())
+	log.Warn("no more operators' calls", "err", server.Serve(listener))
+}
+
+func handler(relay Relay) http.Handler {
+	calls := http.NewServeMux() // another path is 404, another method 405
+	calls.HandleFunc("GET /_ready", func(w http.ResponseWriter, _ *http.Request) {
+		if relay.Ready() {
+			fmt.Fprintln(w, "ready")
+		} else {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	calls.HandleFunc("GET /_vars", func(w http.ResponseWriter, _ *http.Request) {
+		for _, f := range relay.Figures() {
+			kind := "g"
+			if f.Counter {
+				kind = "c"
+			}
+			fmt.Fprintf(w, "relay.%s:%d|%s\n", f.Name, f.Value, kind)
+		}
+	})
+	for word, on := range map[string]bool{"on": true, "off": false} {
+		calls.HandleFunc("POST /_lameduck/"+word, func(w http.ResponseWriter, _ *http.Request) {
+			if err := relay.LameDuck(on); err != nil {
+				http.Error(w, err.Error(), http.StatusConflict)
+				return
+			}
+			fmt.Fprintln(w, word)
+		})
+	}
+	return calls
+}
+
+// callers are the open connections in the order they came. Against some that finish no call keeping out the
+// next one: beyond the bound the one that has been open longest is closed, as a call takes milliseconds.
+type callers struct {
+	mutex sync.Mutex
+	open  []net.Conn
+}
+
+func (c *callers) changed(conn net.Conn, state http.ConnState) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch state {
+	case http.StateNew:
+		if c.open = append(c.open, conn); len(c.open) > mostOpen {
+			c.open[0].Close()
+			c.open = slices.Delete(c.open, 0, 1)
+		}
+	case http.StateClosed:
+		c.open = slices.DeleteFunc(c.open, func(other net.Conn) bool { return other == conn })
+	}
+}
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -127,9 +127,7 @@
 			b.condition = logic.Gone
 		}
 		for i, l := range b.links {
-			if b.condition != logic.Ready && l.leave.place == 0 {
-				r.arm(&l.leave, r.now+r.table.Balancer.Leave(i, len(b.links), 0))
-			}
+			r.leaves(b, l, i)
 		}
 		if b.condition == logic.Gone && b.probe != nil {
 			r.probeOver(b)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -17,6 +17,7 @@
 // Told is what a relay is told at its start.
 type Told struct {
 	Name, Listen, Discovery string
+	Ops                     string // where operators call; none where empty
 	Seed                    uint64
 	Cores, MemoryMB         float64
 	Sockets                 int
@@ -46,8 +47,8 @@
 		return nil, fmt.Errorf("RELAY_CONFIG: %w", err)
 	}
 	var file struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Ops, Seed string
+		Limits                             struct {
 			Cores    float64
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  int
@@ -57,12 +58,12 @@
 	if err := json.Unmarshal(raw, &file); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	t := &Told{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery,
+	t := &Told{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Ops: file.Ops,
 		Cores: file.Limits.Cores, MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets}
 	for _, over := range []struct {
 		name string
 		to   *string
-	}{{"RELAY_NAME", &t.Name}, {"RELAY_LISTEN", &t.Listen}, {"RELAY_DISCOVERY", &t.Discovery}} {
+	}{{"RELAY_NAME", &t.Name}, {"RELAY_LISTEN", &t.Listen}, {"RELAY_DISCOVERY", &t.Discovery}, {"RELAY_OPS", &t.Ops}} {
 		if v := getenv(over.name); v != "" {
 			*over.to = v
 		}
@@ -75,6 +76,9 @@
 			return nil, fmt.Errorf("%s: address:port expected, got %q", address.field, address.value)
 		}
 	}
+	if _, err := netip.ParseAddrPort(t.Ops); t.Ops != "" && err != nil {
+		return nil, fmt.Errorf("ops: address:port or nothing expected, got %q", t.Ops)
+	}
 	if t.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: up to 16 hexadecimal digits expected, got %q", file.Seed)
 	}
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -10,7 +10,7 @@
 	Accepted, Pings, Heads, Resumed, Holds         uint64 // taken in
 	Reloads, BadReloads                            uint64
 	BadClients                                     [len(badNames)]uint64
-	Tries, Probes, Watches                         uint64 // sent
+	Tries, Written, Probes, Watches                uint64 // sent; Written: heads
 	Satisfied, Rejected, Errored, Unwanted, Pushed uint64 // answered: UP, BUSY, ERR; client gone first; MOVE
 	Pieces, Lines                                  uint64 // of what standing clients said; passed to them
 	Endings                                        [len(endingNames)]uint64
@@ -24,7 +24,7 @@
 		slog.Group("in", "accepted", c.Accepted, "pings", c.Pings, "heads", c.Heads,
 			"resumed", c.Resumed, "holds", c.Holds, "pieces", c.Pieces,
 			"reloads", c.Reloads, "bad reloads", c.BadReloads),
-		slog.Group("sent", "tries", c.Tries, "probes", c.Probes, "watches", c.Watches, "lines", c.Lines),
+		slog.Group("sent", "tries", c.Tries, "written", c.Written, "probes", c.Probes, "watches", c.Watches, "lines", c.Lines),
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
 			"unwanted", c.Unwanted, "moved", c.Pushed),
 		slog.Group("endings", endings...),
--- /dev/null
+++ b/internal/relay/figures.go
@@ -0,0 +1,97 @@
+package relay
+
+// This file owns the figures that operators are told: their names, and the board they are published on after
+// each event, which is read without the relay's lock. They are counted in the reducer, where the thing
+// happens; nothing here may be read to decide.
+
+import (
+	"errors"
+	"sync/atomic"
+
+	"valeshift/internal/ops"
+)
+
+// answers are how the links of one category were answered: by the UP that its client was passed, by BUSY, by
+// any other line. A client that was gone first counts nowhere, and one without a category neither.
+type answers struct{ served, refused, failed uint64 }
+
+// figures appends what is published, in the order of names: each category's answers, the attempts written, links
+// from their heads to their ends, the list's backends and those of them that the module avoids.
+func (r *Reducer) figures(to []uint64) []uint64 {
+	for _, a := range r.answers {
+		to = append(to, a.served, a.refused, a.failed)
+	}
+	known, excluded := r.table.Balancer.Census()
+	return append(to, r.Written, uint64(r.links), uint64(known), uint64(excluded))
+}
+
+func (r *Reducer) figureNames() []ops.Figure {
+	names := make([]ops.Figure, 3*len(r.answers))
+	for name, i := range r.categories {
+		for k, what := range []string{"served.", "refused.", "failed."} {
+			names[3*i+k] = ops.Figure{Name: what + name, Counter: true}
+		}
+	}
+	return append(names, ops.Figure{Name: "attempts", Counter: true}, ops.Figure{Name: "in_flight"},
+		ops.Figure{Name: "backends_known"}, ops.Figure{Name: "backends_excluded"})
+}
+
+// serving tells whether the relay is fit to be sent clients.
+func (r *Reducer) serving() bool { return r.ready && !r.stopping && !r.lame }
+
+// board is what was published last.
+type board struct {
+	names  []ops.Figure
+	values []atomic.Uint64
+	ready  atomic.Bool
+	last   []uint64 // the publisher's own
+}
+
+func newBoard(r *Reducer) *board {
+	names := r.figureNames()
+	return &board{names: names, values: make([]atomic.Uint64, len(names))}
+}
+
+// publish is called under the relay's lock. Against a cost for each line of a busy relay: what stays as it was
+// is not written again.
+func (b *board) publish(r *Reducer) {
+	before := len(b.last)
+	b.last = r.figures(b.last)
+	now := b.last[before:]
+	for i, v := range now {
+		if before == 0 || b.last[i] != v {
+			b.values[i].Store(v)
+		}
+	}
+	b.last = b.last[:copy(b.last, now)]
+	b.ready.Store(r.serving())
+}
+
+var errStopping = errors.New("the relay is stopping")
+
+// calls is the relay as operators ask it.
+type calls struct {
+	*Sockets
+	*board
+}
+
+func (c calls) Ready() bool { return c.ready.Load() }
+
+func (c calls) Figures() []ops.Figure {
+	all := append([]ops.Figure(nil), c.names...)
+	for i := range all {
+		all[i].Value = c.values[i].Load()
+	}
+	return all
+}
+
+// LameDuck is answered once the event is taken.
+func (c calls) LameDuck(on bool) error {
+	c.take(Event{Kind: LameDuck, Off: !on})
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !on && c.reducer.stopping {
+		return errStopping
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/figures_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// told gives the figures that are not 0, by name.
+func (s *scene) told() string {
+	var said []string
+	values := s.figures(nil)
+	for i, f := range s.figureNames() {
+		if values[i] > 0 {
+			said = append(said, fmt.Sprint(f.Name, " ", values[i]))
+		}
+	}
+	return strings.Join(said, ", ")
+}
+
+// Every way in which a client's connection can end, against what it and the backends saw.
+func TestFigures(t *testing.T) {
+	const head = "came 1 OPEN a 1f c=feed,t=one,d=2000|"
+	up := []step{{100, "open 1", ""}, {100, head, "dial s1 10.0.0.1:9000"},
+		{101, "up s1", "write s1 OPEN a 1f c=feed,t=one,d=1989|"}}
+	stands := append(append([]step{}, up...), step{102, "came s1 UP r|", "write 1 UP r|"})
+	for _, c := range []struct {
+		name  string
+		start []step
+		event string
+		want  string
+	}{
+		{"nothing yet", nil, "tick", ""},
+		{"accepted", nil, "open 1", ""},
+		{"a try that is not up", up[:2], "tick", "in_flight 1"},
+		{"a try is out", up, "tick", "attempts 1, in_flight 1"},
+		{"stands", stands, "tick", "served.feed 1, attempts 1, in_flight 1"},
+		{"stood, and the client ended it", stands, "end 1", "served.feed 1, attempts 1"},
+		{"stood, and the backend broke it", stands, "reset s1", "served.feed 1, attempts 1"},
+		{"stood, and was moved", stands, "news 1 2 delta b1=leaving",
+			"served.feed 1, attempts 1"},
+		{"tried again", up, "came s1 BUSY|", "attempts 1, in_flight 1"},
+		{"a connect that never came up", up[:2], "reset s1", "in_flight 1"},
+		{"client gone before its answer", up, "end 1", "attempts 1"},
+		{"sent on without waiting", up, "came 1 x|", "failed.feed 1, attempts 1"},
+		{"head that can't be read", up[:1], "came 1 HELLO|", ""},
+		{"no category", up[:1], "came 1 OPEN a 1f c=x,d=2000|", ""},
+		{"a wait without sense", up[:1], "came 1 OPEN a 1f c=order,d=90000|", "failed.order 1"},
+		{"resumed", []step{{100, "open 1", ""}, {100, "came 1 OPEN a 1f c=feed,t=one,d=2000,at=b1|",
+			"dial s1 10.0.0.1:9000"}, {101, "up s1", "write s1 OPEN a 1f c=feed,t=one,d=2000,at=b1|"}},
+			"came s1 UP r|", "served.feed 1, attempts 1, in_flight 1"},
+		{"failed", []step{{100, "open 1", ""}, {100, "came 1 OPEN a 1f c=order,t=one,d=2000|",
+			"dial s1 10.0.0.1:9000"}, {101, "up s1", "write s1 OPEN a 1f c=order,t=one,d=1989|"}},
+			"came s1 ERR|", "failed.order 1, attempts 1"},
+	} {
+		s := open(t, nil, 0, "b1=active", "b2=active")
+		s.play(c.name, c.start...)
+		s.at(103, c.event)
+		s.at(2000, "tick")
+		want := "backends_known 2"
+		if strings.HasPrefix(c.event, "news") {
+			want += ", backends_excluded 1"
+		}
+		assert.Equal(t, strings.TrimPrefix(c.want+", "+want, ", "), s.told(), c.name)
+	}
+	s := open(t, nil, 0)
+	s.play("no backend: given up", step{100, "open 1", ""}, step{100, head, ""})
+	for now := 150.0; now < 1300; now += 50 {
+		s.at(now, "tick")
+	}
+	assert.Equal(t, "refused.feed 1", s.told())
+}
+
+// Backends that don't answer and those that drain are avoided; one that is gone is not known.
+func TestFiguresOfBackends(t *testing.T) {
+	s := open(t, with(`"probes": false`, `"probes": true`), 0, "b1=active", "b2=active", "b3=leaving")
+	assert.Equal(t, "backends_known 3, backends_excluded 1", s.told())
+	for now := 0.0; now < 3000; now += 50 {
+		s.at(now, "tick") // no connection for a probe comes up
+	}
+	assert.Equal(t, "backends_known 3, backends_excluded 3", s.told())
+	s.at(3000, "heard 1")
+	s.at(3001, "news 1 2 whole b2=active")
+	assert.Equal(t, "backends_known 1, backends_excluded 1", s.told())
+}
+
+func TestLameDuck(t *testing.T) {
+	two := with(`"replicas-of-me": 1`, `"replicas-of-me": 2`)
+	s := open(t, two, 0, "b1=active")
+	s.stands()
+	s.play("emptied over the time of a stop, and goes on", step{1000, "lame on", ""}, step{1001, "lame on", ""},
+		step{1001, "open 2", ""}, step{1001, "came 2 PING|", "write 2 ERR|"}, step{1002, "end 2", "end 2"},
+		step{1300, "open 3", ""}, step{1300, "came 3 OPEN b 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
+		step{1301, "up s2", "write s2 OPEN b 1f c=feed,d=1989|"}, step{1899, "tick", ""},
+		step{2650, "tick", "write 1 MOVE|; end 1; end s1"})
+	assert.False(t, s.serving())
+	s.play("what came is served and goes at once", step{3399, "came s2 UP r|",
+		"write 3 UP r|; write 3 MOVE|; end 3; end s2"},
+		step{3400, "tick", ""}, step{9000, "heard 1", ""})
+	assert.Zero(t, s.links)
+	s.play("back at once", step{9001, "lame off", ""}, step{9001, "lame off", ""}, step{9002, "open 4", ""},
+		step{9002, "came 4 PING|", "write 4 PONG|"})
+	assert.True(t, s.serving())
+
+	s = open(t, two, 0, "b1=active", "b2=active")
+	s.stands()
+	s.play("off before it has gone: it stays", step{1000, "lame on", ""}, step{1200, "lame off", ""})
+	for now := 1500.0; now < 9000; now += 500 {
+		s.play("still", step{now, "came 1 x|", "write s1 x|"}, step{now + 1, "came s1 y|", "write 1 y|"})
+		s.at(now+2, "heard 1")
+	}
+	s.play("but not if its backend goes", step{9100, "lame on", ""}, step{9101, "news 1 2 delta b1=leaving", ""},
+		step{9102, "lame off", ""})
+	s.at(12200, "tick")
+	assert.Zero(t, s.Standing)
+	assert.Equal(t, uint64(1), s.Pushed)
+
+	s = open(t, two, 0, "b1=active")
+	s.stands()
+	s.play("a stop goes before both", step{1000, "lame on", ""}, step{1500, "stop", ""}, step{1600, "lame off", ""},
+		step{1601, "lame on", ""})
+	assert.True(t, s.stopping)
+	assert.False(t, s.serving())
+	for now := 1700.0; now < 5000 && !s.quit; now += 50 {
+		s.at(now, "tick")
+	}
+	assert.True(t, s.quit)
+	s = open(t, nil, 0, "b1=active")
+	s.play("a reload meanwhile is taken", step{1, "lame on", ""}, step{2, "reload 10.1.0.2:85",
+		"watch 2 after 0 at 10.1.0.2:85"}, step{3, "news 2 1 whole b1=active", ""}, step{4, "lame off", ""})
+	assert.True(t, s.serving())
+}
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -14,6 +14,7 @@
 
 	"valeshift/internal/hand"
 	"valeshift/internal/lines"
+	"valeshift/internal/ops"
 	"valeshift/internal/settings"
 	"valeshift/logic"
 )
@@ -33,6 +34,7 @@
 	ListHeard              // the watch brought an empty line
 	ListFailed             // the watch ended
 	Stop                   // the relay is to stop
+	LameDuck               // the relay is to be emptied, or (Off) to go back to work
 	Reload                 // the file was read again
 )
 
@@ -44,6 +46,7 @@
 	Broken bool // Over: by a reset, not by an end
 	Unsent bool // Over: with something not written yet
 	Slow   bool // Over: as it took in too little of what was written
+	Off    bool // LameDuck
 	News   *News
 	Err    error  // ListFailed; Reload: why the file can't be used
 	Text   string // Reload: the address of discovery
@@ -158,8 +161,9 @@
 // Reducer is the state of one relay.
 type Reducer struct {
 	Counters
-	table *hand.Table[*link]
-	now   float64
+	answers []answers // by category
+	table   *hand.Table[*link]
+	now     float64
 
 	effects []Effect
 	parts   [][]byte // of the writes among them
@@ -204,7 +208,8 @@
 	starting timer
 
 	stopping bool
-	stopAt   float64
+	lame     bool    // emptied, but not to stop
+	stopAt   float64 // when either began
 	final    timer
 	quit     bool
 }
@@ -234,12 +239,16 @@
 		r.limits = append(r.limits, p.Number("categories."+strconv.Itoa(i)+".hard-limit-ms"))
 		r.longest = max(r.longest, r.limits[i])
 	}
+	r.answers = make([]answers, len(r.limits))
 	if t.Sockets > 0 {
 		r.most = t.Sockets - spareFiles
+		if t.Ops != "" {
+			r.most -= ops.Files
+		}
 		r.room = r.most - r.mostMute()
 		if r.room < perLink {
-			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d", spareFiles+fewHeads+perLink,
-				t.Sockets)
+			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d",
+				t.Sockets-r.most+fewHeads+perLink, t.Sockets)
 		}
 	}
 	if err := p.Err(); err != nil {
@@ -282,6 +291,8 @@
 		}
 	case Stop:
 		r.stop()
+	case LameDuck:
+		r.lameDuck(!e.Off)
 	case Reload:
 		r.reload(e)
 	}
@@ -461,6 +472,7 @@
 		r.toServer(l, data)
 	default:
 		r.BadClients[SaidMore]++
+		r.answers[l.Category].failed++
 		c := l.client
 		r.write(c, []byte(errLine))
 		r.clientOver(l, Event{})
@@ -476,7 +488,7 @@
 	}
 	r.Pings++
 	switch {
-	case r.stopping:
+	case r.stopping || r.lame:
 		r.write(c, []byte(errLine))
 	case r.ready:
 		r.write(c, []byte("PONG\r\n"))
@@ -538,9 +550,11 @@
 		r.refuse(l, UnknownName, errLine)
 		return
 	case len(head.At) == 0 && head.Wait > beyond*r.limits[category]:
+		r.answers[category].failed++
 		r.refuse(l, BadHead, errLine)
 		return
 	case r.ids[string(head.ID)] != nil:
+		r.answers[category].failed++
 		r.refuse(l, IDInUse, errLine)
 		return
 	}
@@ -580,9 +594,11 @@
 		r.try(l, r.byID[a.Backend], a.Timeout)
 	case logic.Reject:
 		r.Rejected++
+		r.answers[l.Category].refused++
 		r.answer(l, busyLine(a.Wait))
 	case logic.Fail:
 		r.Errored++
+		r.answers[l.Category].failed++
 		r.answer(l, errLine)
 	}
 }
@@ -633,6 +649,7 @@
 	if l.stage == resuming {
 		wait = l.head.Wait
 	}
+	r.Written++
 	r.do(Effect{Do: Write, Conn: c.conn, Parts: l.head.Out(wait)})
 	c.wait.fire = func() { r.tryOver(l, NoAnswer) }
 	r.arm(&c.wait, l.giveUp)
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -104,6 +104,8 @@
 		e = Event{Kind: Reload, Text: word[1]}
 	case "refuse":
 		e = Event{Kind: Reload, Err: errors.New("told so")}
+	case "lame":
+		e = Event{Kind: LameDuck, Off: word[1] == "off"}
 	case "stop":
 		e = Event{Kind: Stop}
 	default:
@@ -552,7 +554,7 @@
 func TestBadConfiguration(t *testing.T) {
 	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff","settings":` + told + `}`
 	for _, c := range []struct{ old, new, want string }{
-		{`"name":"n",`, ``, "name"}, {`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
+		{`"name":"n",`, ``, "name"}, {`"name":"n",`, `"name":"n","ops":"here",`, "ops: address:port or nothing"}, {`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
 		{`"127.0.0.1:1"`, `"127.0.0.1"`, "discovery"}, {`"ff"`, `"xyz"`, "seed"},
 		{`"seed"`, `"limits":{"sockets":-1},"seed"`, "limits.sockets"},
 		{`"seed"`, `"limits":{"sockets":37},"seed"`, "limits.sockets: 38"},
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -23,6 +23,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+
+	"valeshift/internal/ops"
 )
 
 const (
@@ -60,6 +62,7 @@
 	freed   *sync.Cond
 	parts   [][]byte
 	quit    chan struct{}
+	board   *board // where operators call; else nil
 }
 
 // Serve runs the relay until it has stopped. Again reads anew what the relay is told, and gives what is to be
@@ -93,6 +96,14 @@
 	if err := s.engine.Start(); err != nil {
 		return fmt.Errorf("poll: %w", err)
 	}
+	if t.Ops != "" {
+		called, err := net.Listen("tcp", t.Ops)
+		if err != nil {
+			return fmt.Errorf("ops: %w", err)
+		}
+		s.board = newBoard(reducer)
+		go ops.Serve(called, calls{s, s.board}, log)
+	}
 	s.take(Event{Kind: Tick})
 	go s.accept(listener)
 	log.Info("serving", "name", t.Name, "listen", listener.Addr().String(), "backends", len(t.Known.Entries))
@@ -162,6 +173,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.carryOut(s.reducer.Take(s.now(), e))
+	if s.board != nil {
+		s.board.publish(s.reducer)
+	}
 }
 
 func (s *Sockets) carryOut(effects []Effect) {
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -67,12 +67,13 @@
 	l.leave.fire = func() { r.move(l, MovedAway) }
 	l.stage = standing
 	r.Standing++
+	r.answers[l.Category].served++
 	c.backend.links = append(c.backend.links, l)
 	r.write(l.client, line)
 	l.client.wait.fire = func() { r.move(l, MovedAway) }
 	r.arm(&l.client.wait, r.now+idleClient)
 	l.head = lines.Head{}
-	if r.stopping {
+	if r.stopping || r.lame {
 		r.arm(&l.leave, max(r.now, r.leaveAt(0, 1)))
 	} else if c.backend.condition != logic.Ready {
 		r.arm(&l.leave, r.now)
@@ -190,7 +191,42 @@
 	if r.stopping {
 		return
 	}
-	r.stopping, r.stopAt = true, r.now
+	r.stopping, r.lame = true, false
+	r.empty()
+	look := timer{fire: func() {}}
+	r.arm(&look, r.now+lastComers) // a look at whether all is done
+}
+
+// lameDuck empties the relay as a stop does, but for its end, or takes it back to work. A stop goes before it.
+func (r *Reducer) lameDuck(on bool) {
+	if r.stopping || r.lame == on {
+		return
+	}
+	r.lame = on
+	r.note("lame duck", "on", on, "standing", r.Standing)
+	if on {
+		r.empty()
+		return
+	}
+	r.disarm(&r.final)
+	for _, b := range r.order {
+		for i, l := range b.links {
+			r.disarm(&l.leave)
+			r.leaves(b, l, i)
+		}
+	}
+}
+
+// leaves has a link go that stands on a backend which goes, if it is not told yet.
+func (r *Reducer) leaves(b *backend, l *link, nth int) {
+	if b.condition != logic.Ready && l.leave.place == 0 {
+		r.arm(&l.leave, r.now+r.table.Balancer.Leave(nth, len(b.links), 0))
+	}
+}
+
+// empty has what stands moved over the time that the module gives, and whatever is left then answered.
+func (r *Reducer) empty() {
+	r.stopAt = r.now
 	var all []*link
 	for _, c := range r.clients() {
 		if c.link.stage == standing {
@@ -200,9 +236,7 @@
 	for i, l := range all {
 		r.arm(&l.leave, r.leaveAt(i, len(all)))
 	}
-	look := timer{fire: func() {}}
-	r.arm(&look, r.now+lastComers) // a look at whether all is done
-	r.final.fire = r.stopNow
+	r.final.fire = r.emptyNow
 	r.arm(&r.final, r.now+r.stopTime())
 }
 
@@ -214,8 +248,8 @@
 	return r.stopAt + lastComers + r.table.Balancer.Leave(nth, of, r.stopTime()-lastComers)
 }
 
-// stopNow answers and moves whatever is left.
-func (r *Reducer) stopNow() {
+// emptyNow answers and moves whatever is left.
+func (r *Reducer) emptyNow() {
 	for _, c := range r.clients() {
 		switch l := c.link; l.stage {
 		case heading:
@@ -235,7 +269,9 @@
 			r.table.Place(r.now, l)
 		}
 	}
-	r.leave()
+	if r.stopping {
+		r.leave()
+	}
 }
 
 // idle tells whether nobody waits for anything: no link, and no client whose head may be on its way.
--- a/logic/due.go
+++ b/logic/due.go
@@ -84,6 +84,8 @@
 	cold          []int // in order; some may be warm by now
 	usable        int   // ready, and they answer
 	isUsable      []bool
+	listed        int // not gone
+	isListed      []bool
 }
 
 func (t *track) grow(n int) {
@@ -91,6 +93,7 @@
 	t.doubted.grow(n)
 	for len(t.isFresh) < n {
 		t.isFresh, t.isUsable = append(t.isFresh, false), append(t.isUsable, false)
+		t.isListed = append(t.isListed, false)
 	}
 }
 
@@ -106,6 +109,14 @@
 			t.usable--
 		}
 	}
+	if listed := b.condition[s] != Gone; listed != t.isListed[s] {
+		t.isListed[s] = listed
+		if listed {
+			t.listed++
+		} else {
+			t.listed--
+		}
+	}
 	wait := ready && math.IsNaN(p.sentAt[s])
 	fresh := wait && math.IsInf(p.askedAt[s], -1)
 	if fresh != t.isFresh[s] {
--- a/logic/types.go
+++ b/logic/types.go
@@ -512,6 +512,12 @@
 	return b.links[s], b.probing.heardAt[s], b.condition[s] != Ready || !b.health.good(s)
 }
 
+// Census counts the servers that the list has, draining ones among them, and those of them that no new link is
+// sent to now: they drain, or don't answer.
+func (b *Balancer) Census() (listed, avoided int) {
+	return b.track.listed, b.track.listed - b.track.usable
+}
+
 // Knows tells whether the settings name the category.
 func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
 
