A second process on the platform's socket takes the clients over

Seen: the second process exits with 1, 'listen: address already in use' (sockets.go, Serve), and nothing told the first one that another stands there. Ruled out: a stop that goes on accepting (a connection taken by the process that ends is moved at once; with it 0 ended at the door, but clients moved twice). Change: RELAY_SOCKET_FD; internal/handover finds the other process by locked files; the elder leaves what it knows (Record, Inherit), the younger accepts once the module says it is fit (Fit) and has said ready; the elder then stops accepting at SIGTERM. Both keep to one limit of descriptors and links (share), and the elder's cold budget rests (Yield).

--- a/cmd/valeshift/helpers_test.go
+++ b/cmd/valeshift/helpers_test.go
@@ -153,6 +153,7 @@
 	calls   int
 	changed chan struct{}
 	ops     string // where operators call, in configurations
+	listen  string // and clients
 }
 
 func (l *list) entry(name, address, status string) string {
@@ -244,7 +245,7 @@
 		"may-cancel":true}}`
 
 func newList(t *testing.T, backends ...*backend) *list {
-	l := &list{index: 1, changed: make(chan struct{})}
+	l := &list{index: 1, changed: make(chan struct{}), listen: "127.0.0.1:0"}
 	for _, b := range backends {
 		l.entries = append(l.entries, l.entry(b.name, b.address, "active"))
 	}
@@ -260,7 +261,7 @@
 // config is a configuration that names this discovery.
 func (l *list) config(sockets int) string {
 	known, _ := l.text()
-	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "ops": l.ops,
+	text, _ := json.Marshal(map[string]any{"name": "n0", "listen": l.listen, "ops": l.ops,
 		"discovery": l.address, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
 		"known":  json.RawMessage(known), "settings": json.RawMessage(told)})
@@ -279,8 +280,9 @@
 	return r
 }
 
-// run starts the program on a configuration.
-func run(t *testing.T, config string) *process {
+// run starts the program on a configuration; with a file that it inherits as descriptor 3, and more of the
+// environment.
+func run(t *testing.T, config string, more ...any) *process {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(config), 0o600))
@@ -289,6 +291,13 @@
 	json.Unmarshal([]byte(config), &file) // the environment has it too, as in service
 	r.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "RELAY_NAME=", "RELAY_LISTEN=", "RELAY_OPS=",
 		"RELAY_DISCOVERY="+file.Discovery)
+	for _, x := range more {
+		if f, ok := x.(*os.File); ok {
+			r.cmd.ExtraFiles = append(r.cmd.ExtraFiles, f)
+		} else {
+			r.cmd.Env = append(r.cmd.Env, x.(string))
+		}
+	}
 	r.cmd.Stderr = r
 	require.NoError(t, r.cmd.Start())
 	go func() {
--- a/cmd/valeshift/main.go
+++ b/cmd/valeshift/main.go
@@ -52,7 +52,11 @@
 	// One more than the cores: while the poller sits in its system call, another thread serves the rest at once.
 	runtime.GOMAXPROCS(max(int(told.Cores), 1) + 1)
 	if told.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(told.MemoryMB * 0.6 * (1 << 20)))
+		part := 0.6
+		if told.SocketFD > 0 { // two processes at times, under one limit
+			part /= 2
+		}
+		debug.SetMemoryLimit(int64(told.MemoryMB * part * (1 << 20)))
 	}
 	again := func() (*relay.Told, func(), error) {
 		told, file, err := read(l, relay.ReadAgain)
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -55,6 +55,10 @@
 	View(id uint32) (links int, heard float64, out bool)
 	Knows(category int) bool
 	Census() (listed, avoided int)
+	Fit(now float64) bool
+	Yield(on bool)
+	Record(now float64) logic.Record
+	Inherit(now float64, r *logic.Record) error
 }
 
 // Table is what one relay has in hand.
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,136 @@
+package handover
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func sit(t *testing.T, dir string) *Seat {
+	s, err := Sit(dir)
+	require.NoError(t, err)
+	t.Cleanup(func() { s.file.Close() })
+	return s
+}
+
+func TestSeats(t *testing.T) {
+	dir := t.TempDir()
+	a := sit(t, dir)
+	elder, younger := a.Others()
+	assert.Equal(t, [2]Other{}, [2]Other{elder, younger}, "alone")
+	b := sit(t, dir)
+	_, younger = a.Others()
+	assert.Equal(t, Other{2, false}, younger)
+	elder, _ = b.Others()
+	assert.Equal(t, Other{1, false}, elder)
+	require.NoError(t, b.Ready())
+	_, younger = a.Others()
+	assert.Equal(t, Other{2, true}, younger)
+	c := sit(t, dir)
+	elder, _ = c.Others()
+	assert.Equal(t, 2, elder.Number, "the nearest")
+	_, younger = a.Others()
+	assert.Equal(t, 2, younger.Number, "the nearest")
+
+	b.file.Close() // dead, whatever its file says
+	_, younger = a.Others()
+	assert.Equal(t, Other{3, false}, younger)
+	a.file.Close()
+	elder, younger = c.Others()
+	assert.Equal(t, [2]Other{}, [2]Other{elder, younger})
+	assert.NoFileExists(t, filepath.Join(dir, "valeshift.1.seat"), "taken away")
+	assert.Equal(t, 4, sit(t, dir).number, "no number twice")
+
+	for _, name := range []string{"valeshift.x.seat", "valeshift.9.other", "other.9.seat", "valeshift.-3.seat"} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), nil, 0o600))
+	}
+	_, younger = c.Others()
+	assert.Equal(t, 4, younger.Number, "files of others")
+	_, err := Sit(filepath.Join(dir, "absent"))
+	assert.Error(t, err)
+}
+
+// Many at once get a number each.
+func TestSeatsAtOnce(t *testing.T) {
+	dir := t.TempDir()
+	got := make(chan *Seat)
+	for range 20 {
+		go func() {
+			s, _ := Sit(dir)
+			got <- s
+		}()
+	}
+	numbers := map[int]bool{}
+	for range 20 {
+		s := <-got
+		require.NotNil(t, s)
+		defer s.file.Close()
+		numbers[s.number] = true
+	}
+	assert.Len(t, numbers, 20)
+}
+
+func TestLeft(t *testing.T) {
+	dir := t.TempDir()
+	a, b := sit(t, dir), sit(t, dir)
+	from := time.Now()
+	_, err := b.Left(50 * time.Millisecond)
+	assert.ErrorIs(t, err, os.ErrNotExist)
+	assert.GreaterOrEqual(t, time.Since(from), 50*time.Millisecond)
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		a.Leave(2, []byte("what I know"))
+	}()
+	record, err := b.Left(5 * time.Second)
+	require.NoError(t, err)
+	assert.Equal(t, "what I know", string(record))
+	_, err = b.Left(0)
+	assert.ErrorIs(t, err, os.ErrNotExist, "taken once")
+	assert.ErrorContains(t, a.Leave(2, make([]byte, most+1)), "at the most")
+	require.NoError(t, os.WriteFile(b.path(2, left), make([]byte, most+1), 0o600))
+	_, err = b.Left(0)
+	assert.ErrorContains(t, err, "more than")
+	entries, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	assert.Len(t, entries, 2, "nothing but the seats is left behind")
+}
+
+func TestListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f, err := l.(*net.TCPListener).File()
+	require.NoError(t, err)
+	fd, err := syscall.Dup(int(f.Fd()))
+	require.NoError(t, err)
+	f.Close()
+	mine, err := Listener(fd)
+	require.NoError(t, err)
+	require.NoError(t, mine.Close())
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err, "the other process's is left alone")
+	c.Close()
+	l.Close()
+
+	for name, open := range map[string]func() int{
+		"closed": func() int { return 987 },
+		"a file": func() int {
+			fd, _ := syscall.Open(os.DevNull, syscall.O_RDONLY, 0)
+			return fd
+		},
+		"not listening": func() int {
+			fd, _ := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+			return fd
+		},
+	} {
+		fd := open()
+		_, err := Listener(fd)
+		assert.ErrorContains(t, err, "a listening socket expected", name)
+		syscall.Close(fd)
+	}
+}
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -239,3 +239,15 @@
 	}
 	return len(m.ids), avoided
 }
+
+// Fit, Yield, Record and Inherit are of two processes of one relay, which the baselines know nothing of.
+func (m *Module) Fit(float64) bool { return true }
+
+// Yield does nothing: there is no budget of cold servers.
+func (m *Module) Yield(bool) {}
+
+// Record is empty: nothing is learnt.
+func (m *Module) Record(now float64) logic.Record { return logic.Record{At: now} }
+
+// Inherit takes nothing.
+func (m *Module) Inherit(float64, *logic.Record) error { return nil }
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -188,7 +188,7 @@
 	r.untold = false
 	r.disarm(&r.renewing)
 	r.apply(e.News)
-	r.nowReady()
+	r.told = true
 }
 
 func (r *Reducer) listFailed(why string) {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -18,11 +18,17 @@
 type Told struct {
 	Name, Listen, Discovery string
 	Ops                     string // where operators call; none where empty
+	SocketFD                int    // of the clients' socket, where the platform holds it; else 0
+	Dir                     string // that the relay's processes share then
 	Seed                    uint64
 	Cores, MemoryMB         float64
 	Sockets                 int
 	Known                   *News
 	Settings                map[string]string
+
+	// Found out at the start of a process beside another: that there is one, and what it left.
+	Elder bool
+	Left  *Handover
 }
 
 // ReadAgain reads the file for a reload. Against staying with a discovery that is gone: the environment names
@@ -90,6 +96,12 @@
 			return nil, fmt.Errorf("limits.%s: no less than 0 expected, got %v", limit.field, limit.value)
 		}
 	}
+	if fd := getenv("RELAY_SOCKET_FD"); fd != "" {
+		if t.SocketFD, err = strconv.Atoi(fd); err != nil || t.SocketFD < 3 {
+			return nil, fmt.Errorf("RELAY_SOCKET_FD: a descriptor from 3 on expected, got %q", fd)
+		}
+		t.Dir = getenv("TMPDIR")
+	}
 	t.Known = &News{Whole: true}
 	if len(file.Known) > 0 {
 		if t.Known, err = readNews(file.Known); err != nil {
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -13,6 +13,7 @@
 	"strconv"
 
 	"valeshift/internal/hand"
+	"valeshift/internal/handover"
 	"valeshift/internal/lines"
 	"valeshift/internal/ops"
 	"valeshift/internal/settings"
@@ -35,6 +36,7 @@
 	ListFailed             // the watch ended
 	Stop                   // the relay is to stop
 	LameDuck               // the relay is to be emptied, or (Off) to go back to work
+	Beside                 // which other processes of this relay are alive
 	Reload                 // the file was read again
 )
 
@@ -47,9 +49,13 @@
 	Unsent bool // Over: with something not written yet
 	Slow   bool // Over: as it took in too little of what was written
 	Off    bool // LameDuck
-	News   *News
-	Err    error  // ListFailed; Reload: why the file can't be used
-	Text   string // Reload: the address of discovery
+	Yield  bool // Stop: a younger process takes the clients from now on
+
+	Elder, Younger, Leave bool // Beside; Leave: the younger is to be left what is known
+
+	News *News
+	Err  error  // ListFailed; Reload: why the file can't be used
+	Text string // Reload: the address of discovery
 }
 
 // Do is what an effect asks for.
@@ -64,10 +70,12 @@
 	Arm      // have Tick come at At
 	Watch    // watch the list at Text as Conn, from After on, in place of any other watch
 	Unwatch
-	Hold // take in no further client
-	Free // and again
-	Note // a line for the log
-	Quit // all is done
+	Hold     // take in no further client
+	Free     // and again
+	Note     // a line for the log
+	Quit     // all is done
+	Ready    // the relay is fit to serve from now on
+	Bequeath // leave Left to the younger process
 )
 
 // Effect is one thing to be done, in order.
@@ -79,6 +87,7 @@
 	At    float64
 	After uint64
 	Args  []any
+	Left  *Handover
 }
 
 const (
@@ -174,7 +183,9 @@
 	ends    map[uint64]*end
 	links   int // from their heads to their ends
 	others  int // connections of no client and no link: probes
-	most    int // sockets
+	files   int // sockets of this process, or of both where there are two
+	reserve int // descriptors of each beside those
+	most    int // of files, for this process
 	room    int // of those, for links
 	full    bool
 	mute    []*end // clients without a head, in the order they came, and some that are over
@@ -190,6 +201,7 @@
 	mayCancel                  bool
 	maxBack, connectTime       float64 // the longest wait a client follows; for a backend to be up
 	mostHeld                   int
+	allHeld                    int       // of both processes, where there are two
 	limits                     []float64 // hard limit, by category
 	longest                    float64   // of them
 
@@ -206,12 +218,17 @@
 	watched  timer
 	ready    bool
 	starting timer
+	told     bool // the list, by discovery
 
 	stopping bool
 	lame     bool    // emptied, but not to stop
 	stopAt   float64 // when either began
 	final    timer
 	quit     bool
+
+	elder, younger bool      // another process of this relay, beside this one
+	yielded        bool      // to the younger: no client is taken any more
+	left           *Handover // by the elder
 }
 
 // New builds the relay's state from what it is told.
@@ -227,13 +244,13 @@
 func NewOn(now float64, t *Told, balancer hand.Module) (*Reducer, error) {
 	p := settings.Over(t.Settings)
 	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, ids: map[string]*link{},
-		most: math.MaxInt, room: math.MaxInt,
 		dials: dialed, categories: p.Names("categories"), parties: p.Names("parties"),
 		zones: p.Places("localities"), fields: p.Fields(), reports: p.Text("stats.how") == "answers",
 		mayCancel: p.Text("limits.may-cancel") != "false",
 		maxBack:   p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
-		source:   t.Discovery,
-		mostHeld: int(p.Optional("limits.most-held", math.MaxInt32)),
+		source: t.Discovery,
+		files:  math.MaxInt, allHeld: int(p.Optional("limits.most-held", math.MaxInt32)),
+		elder: t.Elder, left: t.Left,
 		backends: map[string]*backend{}, byID: map[uint32]*backend{}}
 	for i := range p.Count("categories.count") {
 		r.limits = append(r.limits, p.Number("categories."+strconv.Itoa(i)+".hard-limit-ms"))
@@ -241,21 +258,21 @@
 	}
 	r.answers = make([]answers, len(r.limits))
 	if t.Sockets > 0 {
-		r.most = t.Sockets - spareFiles
+		r.reserve = spareFiles
 		if t.Ops != "" {
-			r.most -= ops.Files
+			r.reserve += ops.Files
 		}
-		r.room = r.most - r.mostMute()
-		if r.room < perLink {
+		if r.files = t.Sockets - r.reserve; r.files-max(r.files/mutePart, fewHeads) < perLink {
 			return nil, fmt.Errorf("limits.sockets: %d or more expected, got %d",
-				t.Sockets-r.most+fewHeads+perLink, t.Sockets)
+				r.reserve+fewHeads+perLink, t.Sockets)
 		}
 	}
+	r.share()
 	if err := p.Err(); err != nil {
 		return nil, err
 	}
 	r.table = hand.NewTable(balancer, r)
-	r.apply(t.Known)
+	r.begins(t.Known)
 	if p.Text("discovery") == "automatic" {
 		r.watch()
 	}
@@ -263,12 +280,21 @@
 	r.renewing.fire = r.Subscribe
 	r.starting.fire = r.nowReady
 	r.ageing.fire = func() {} // the gate looks anyway
-	r.arm(&r.starting, now+readyTime)
+	if r.elder {
+		r.arm(&r.starting, now+fitTime)
+	} else {
+		r.arm(&r.starting, now+readyTime)
+	}
 	return r, nil
 }
 
-// Check tells whether a relay could be built from what it is told.
+// Check tells whether a relay could start from what it is told.
 func Check(t *Told) error {
+	if t.SocketFD > 0 {
+		if err := handover.Check(t.SocketFD); err != nil {
+			return fmt.Errorf("RELAY_SOCKET_FD: %w", err)
+		}
+	}
 	_, err := New(0, t)
 	return err
 }
@@ -290,18 +316,23 @@
 			r.list(e)
 		}
 	case Stop:
-		r.stop()
+		r.stop(e.Yield)
 	case LameDuck:
 		r.lameDuck(!e.Off)
+	case Beside:
+		r.beside(e)
 	case Reload:
 		r.reload(e)
 	}
 	for len(r.timers) > 0 && r.timers[0].at <= now {
 		heap.Pop(&r.timers).(*timer).fire()
 	}
+	if r.told && !r.ready && (!r.elder || r.table.Balancer.Fit(now)) {
+		r.nowReady()
+	}
 	wake := r.table.Drive(now)
 	r.gate()
-	if r.stopping && now >= r.stopAt+lastComers && r.idle() {
+	if r.stopping && (r.yielded || now >= r.stopAt+lastComers) && r.idle() {
 		r.leave()
 	}
 	if len(r.timers) > 0 {
@@ -327,8 +358,8 @@
 	for crowded() && len(r.mute) > 0 && r.now >= r.mute[0].since+grace {
 		r.refuse(r.mute[0].link, PushedOut, r.busy())
 	}
-	full := crowded()
-	if full && len(r.mute) > 0 {
+	full := crowded() || r.yielded || (r.elder && !r.ready)
+	if crowded() && len(r.mute) > 0 {
 		r.arm(&r.ageing, r.mute[0].since+grace)
 	}
 	if full != r.full {
@@ -488,7 +519,7 @@
 	}
 	r.Pings++
 	switch {
-	case r.stopping || r.lame:
+	case (r.stopping || r.lame) && !r.yielded:
 		r.write(c, []byte(errLine))
 	case r.ready:
 		r.write(c, []byte("PONG\r\n"))
@@ -502,6 +533,7 @@
 	}
 	r.ready = true
 	r.disarm(&r.starting)
+	r.do(Effect{Do: Ready})
 	for _, c := range r.clients() {
 		if c.link.stage == heading {
 			for range c.pings {
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -35,6 +35,12 @@
 }
 
 func open(t *testing.T, change func(text string) string, sockets int, backends ...string) *scene {
+	t.Helper()
+	return begin(t, change, &Told{Seed: 5, Sockets: sockets, Discovery: "10.1.0.1:85",
+		Known: &News{Whole: true, Entries: entries(backends)}})
+}
+
+func begin(t *testing.T, change func(text string) string, what *Told) *scene {
 	t.Helper()
 	text := told
 	if change != nil {
@@ -43,8 +49,8 @@
 	}
 	values, err := settings.Flatten([]byte(text))
 	require.NoError(t, err)
-	r, err := New(0, &Told{Seed: 5, Settings: values, Sockets: sockets, Discovery: "10.1.0.1:85",
-		Known: &News{Whole: true, Entries: entries(backends)}})
+	what.Settings = values
+	r, err := New(0, what)
 	require.NoError(t, err)
 	s := &scene{Reducer: r, t: t}
 	s.at(0, "tick")
@@ -106,8 +112,10 @@
 		e = Event{Kind: Reload, Err: errors.New("told so")}
 	case "lame":
 		e = Event{Kind: LameDuck, Off: word[1] == "off"}
+	case "beside":
+		e = Event{Kind: Beside, Elder: word[1] == "elder", Younger: word[1] == "younger", Leave: word[1] == "younger"}
 	case "stop":
-		e = Event{Kind: Stop}
+		e = Event{Kind: Stop, Yield: len(word) > 1}
 	default:
 		e = Event{Kind: Tick}
 	}
@@ -143,6 +151,9 @@
 			said = append(said, "free")
 		case Quit:
 			said = append(said, "quit")
+		case Bequeath:
+			s.left = f.Left
+			said = append(said, "bequeath")
 		}
 	}
 	return strings.Join(said, "; ")
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -10,12 +10,14 @@
 // its OnData tells a reset that follows data as an end, so OnRead reads here.
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"math"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -24,6 +26,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 
+	"valeshift/internal/handover"
 	"valeshift/internal/ops"
 )
 
@@ -31,6 +34,8 @@
 	readPiece  = 16 << 10
 	mostUnread = 64 << 10 // written but not taken by a peer, above which it is a slow reader and cut off
 	lastWrites = 200 * time.Millisecond
+	lookEvery  = 100 * time.Millisecond // for another process of this relay
+	leftWait   = 800 * time.Millisecond // for what the elder leaves
 	acceptGap  = 20 * time.Millisecond
 	restWait   = 2 * time.Second // for a peer to take what was written before an end
 )
@@ -63,6 +68,11 @@
 	parts   [][]byte
 	quit    chan struct{}
 	board   *board // where operators call; else nil
+
+	listener *net.TCPListener
+	seat     *handover.Seat // among the processes of this relay; nil: there can be no other
+	younger  int            // number of the one that was left to
+	besides  Event          // who was there at the last look
 }
 
 // Serve runs the relay until it has stopped. Again reads anew what the relay is told, and gives what is to be
@@ -72,7 +82,10 @@
 	now := time.Now()
 	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
 		dialing: map[uint64]*dialing{}, quit: make(chan struct{})}
-	reducer, err := New(s.baseMS, t)
+	if err := s.sit(t); err != nil {
+		return err
+	}
+	reducer, err := New(s.now(), t)
 	if err != nil {
 		return err
 	}
@@ -84,10 +97,6 @@
 	if t.Sockets > 0 {
 		nbio.MaxOpenFiles = max(t.Sockets, 64)
 	}
-	listener, err := net.Listen("tcp", t.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
 	s.engine = nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: readPiece, MaxWriteBufferSize: mostUnread})
 	buffer := make([]byte, readPiece) // one poller reads, so one buffer serves all
 	s.engine.OnRead(func(c *nbio.Conn) { s.read(c, buffer) })
@@ -105,13 +114,20 @@
 		go ops.Serve(called, calls{s, s.board}, log)
 	}
 	s.take(Event{Kind: Tick})
-	go s.accept(listener)
-	log.Info("serving", "name", t.Name, "listen", listener.Addr().String(), "backends", len(t.Known.Entries))
+	go s.accept()
+	log.Info("serving", "name", t.Name, "listen", s.listener.Addr().String(), "backends", len(t.Known.Entries))
+	var look <-chan time.Time
+	if s.seat != nil {
+		look = time.Tick(lookEvery)
+	}
 	for {
 		select {
+		case <-look:
+			s.look()
 		case <-stop:
-			log.Info("stopping")
-			s.take(Event{Kind: Stop})
+			yield := s.seat != nil && s.look().Ready
+			log.Info("stopping", "for a younger process", yield)
+			s.take(Event{Kind: Stop, Yield: yield})
 			stop = nil
 		case <-print:
 			s.counters("asked")
@@ -125,10 +141,70 @@
 	}
 }
 
+// sit has the clients' socket: the platform's, or one of its own. Where the platform holds it, another process of
+// this relay may serve already; what it leaves is read here, and the start goes on without it where it can't be.
+func (s *Sockets) sit(t *Told) error {
+	if t.SocketFD == 0 {
+		l, err := net.Listen("tcp", t.Listen)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		s.listener = l.(*net.TCPListener)
+		return nil
+	}
+	var err error
+	if s.listener, err = handover.Listener(t.SocketFD); err != nil {
+		return fmt.Errorf("RELAY_SOCKET_FD: %w", err)
+	}
+	if s.seat, err = handover.Sit(t.Dir); err != nil {
+		s.log.Warn("no seat beside other processes of this relay", "err", err)
+		return nil
+	}
+	elder, _ := s.seat.Others()
+	if t.Elder = elder.Number > 0; !t.Elder {
+		return nil
+	}
+	s.besides.Elder = true
+	text, err := s.seat.Left(leftWait)
+	if err == nil {
+		t.Left, err = ReadHandover(text, s.now())
+	}
+	if err != nil {
+		s.log.Warn("nothing of what the elder process knew", "err", err)
+	}
+	return nil
+}
+
+// look sees who else is there, and tells the reducer what is new.
+func (s *Sockets) look() (younger handover.Other) {
+	elder, younger := s.seat.Others()
+	fresh := younger.Number > 0 && younger.Number != s.younger && !younger.Ready
+	e := Event{Kind: Beside, Elder: elder.Number > 0, Younger: younger.Number > 0, Leave: fresh}
+	if fresh || e.Elder != s.besides.Elder || e.Younger != s.besides.Younger {
+		s.younger, s.besides = younger.Number, e
+		s.take(e)
+	}
+	return younger
+}
+
+func (s *Sockets) bequeath(number int, left *Handover) {
+	text, err := json.Marshal(left)
+	if err == nil {
+		err = s.seat.Leave(number, text)
+	}
+	s.said(err)
+}
+
+func (s *Sockets) said(err error) {
+	if err != nil {
+		s.log.Warn("can't tell the other process of this relay", "err", err)
+	}
+}
+
 // reloaded is the event of one reload. The file is checked whole, by the same steps as at the start.
 func (s *Sockets) reloaded(t *Told, besides func(), err error) Event {
 	if err == nil {
-		err = Check(t)
+		_, err = New(0, t)
 	}
 	if err != nil {
 		return Event{Kind: Reload, Err: err}
@@ -201,8 +277,20 @@
 		case Hold, Free:
 			s.held = e.Do == Hold
 			s.freed.Broadcast()
+			if s.held { // also where a client is waited for already: the next is not taken in
+				s.listener.SetDeadline(time.Unix(1, 0))
+			} else {
+				s.listener.SetDeadline(time.Time{})
+			}
 		case Note:
 			s.log.Info(e.Text, e.Args...)
+		case Ready:
+			if s.seat != nil {
+				s.said(s.seat.Ready())
+			}
+		case Bequeath:
+			number, left := s.younger, e.Left
+			s.work.do(func() { s.bequeath(number, left) })
 		case Quit:
 			close(s.quit)
 		}
@@ -211,16 +299,18 @@
 
 // accept takes clients in. It waits where there is none to be had, against spinning without descriptors;
 // nbio's own listener asks again at once.
-func (s *Sockets) accept(listener net.Listener) {
+func (s *Sockets) accept() {
 	for conn := uint64(1); ; conn++ {
 		s.mutex.Lock()
 		for s.held {
 			s.freed.Wait()
 		}
 		s.mutex.Unlock()
-		plain, err := listener.Accept()
+		plain, err := s.listener.Accept()
 		if err != nil {
-			time.Sleep(acceptGap)
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				time.Sleep(acceptGap)
+			}
 			continue
 		}
 		s.hold(conn, plain, Opened)
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -186,11 +186,13 @@
 }
 
 // stop begins the relay's planned stop: what comes is served, what stands is moved once clients are dealt
-// elsewhere, and all is answered before the kill can come.
-func (r *Reducer) stop() {
+// elsewhere, and all is answered before the kill can come. To a younger process that is ready all clients are
+// left at once: against some that this one takes last, to be moved as soon as they stand.
+func (r *Reducer) stop(yield bool) {
 	if r.stopping {
 		return
 	}
+	r.yielded = yield
 	r.stopping, r.lame = true, false
 	r.empty()
 	look := timer{fire: func() {}}
@@ -245,7 +247,11 @@
 
 // leaveAt is when the nth of so many standing links is moved at a stop.
 func (r *Reducer) leaveAt(nth, of int) float64 {
-	return r.stopAt + lastComers + r.table.Balancer.Leave(nth, of, r.stopTime()-lastComers)
+	still := lastComers
+	if r.yielded { // nobody comes here any more
+		still = 0
+	}
+	return r.stopAt + still + r.table.Balancer.Leave(nth, of, r.stopTime()-still)
 }
 
 // emptyNow answers and moves whatever is left.
--- /dev/null
+++ b/internal/relay/succession.go
@@ -0,0 +1,150 @@
+package relay
+
+// This file is the part of the reducer for two processes of one relay on a socket that the platform holds: what
+// the elder leaves to the younger, and how both keep to the limits of one. It must never decide which of them
+// serves, as that is the platform's, or how fast links go, as that is the module's.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"valeshift/logic"
+)
+
+const (
+	handoverVersion = 1
+	handoverAge     = 10000.0 // above which what was left says nothing of now
+	fitTime         = 2500.0  // for the younger to become fit; the platform gives six seconds from its start
+)
+
+// Handover is what the elder process leaves to the younger. Fields that are not known are passed over, so that one
+// of the same version may gain some; a change of their meaning is another version.
+type Handover struct {
+	Version int
+	At      float64
+	List    *News
+	Module  logic.Record
+	Names   []string // of the module's servers, in its order
+	Files   int      // descriptors that the elder keeps to, its own reserve included
+	Links   int      // and links
+}
+
+// ReadHandover reads what was left, and says why it can't be used.
+func ReadHandover(text []byte, now float64) (*Handover, error) {
+	h := &Handover{}
+	if err := json.Unmarshal(text, h); err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	switch {
+	case h.Version != handoverVersion:
+		return nil, fmt.Errorf("handover: version %d expected, got %d", handoverVersion, h.Version)
+	case !(h.At <= now+handoverAge && h.At >= now-handoverAge):
+		return nil, fmt.Errorf("handover: of %.0f ms ago, %v at the most", now-h.At, handoverAge)
+	case h.List == nil || len(h.Names) != len(h.Module.Servers) || h.Files < 0 || h.Links < 0:
+		return nil, fmt.Errorf("handover: a field is missing or wrong")
+	}
+	h.List.Whole = true
+	return h, nil
+}
+
+// handover is what this process knows now.
+func (r *Reducer) handover() *Handover {
+	h := &Handover{Version: handoverVersion, At: r.now, List: &News{Index: r.index, Whole: true},
+		Module: r.table.Balancer.Record(r.now), Files: r.most + r.reserve, Links: min(r.mostHeld, math.MaxInt32)}
+	for _, b := range r.order {
+		if b.condition != logic.Gone {
+			h.List.Entries = append(h.List.Entries, b.Entry)
+		}
+	}
+	kept := h.Module.Servers[:0]
+	for _, s := range h.Module.Servers {
+		if b := r.byID[s.ID]; b != nil {
+			kept, h.Names = append(kept, s), append(h.Names, b.Name)
+		}
+	}
+	h.Module.Servers = kept
+	return h
+}
+
+// begins takes the list told at the start, or the elder's where that is newer, and what the elder has learnt. Against
+// two lists in a row: the second would be discovery's to the module, which then asks for none.
+func (r *Reducer) begins(known *News) {
+	if r.left != nil && r.left.List.Index >= known.Index {
+		known = r.left.List
+	}
+	r.apply(known)
+	if r.left == nil {
+		return
+	}
+	if err := r.inherit(r.left); err != nil {
+		r.note("what the elder process left is passed over", "why", err.Error())
+	}
+}
+
+func (r *Reducer) inherit(h *Handover) error {
+	record := h.Module
+	record.Servers = nil
+	for i, s := range h.Module.Servers {
+		if b := r.backends[h.Names[i]]; b != nil {
+			s.ID = b.id
+			record.Servers = append(record.Servers, s)
+		}
+	}
+	if err := r.table.Balancer.Inherit(r.now, &record); err != nil {
+		return err
+	}
+	r.note("took over what the elder process knew", "age ms", math.Round(r.now-h.At), "backends", len(record.Servers))
+	return nil
+}
+
+// beside takes which other processes of this relay are alive.
+func (r *Reducer) beside(e Event) {
+	elder, younger := e.Elder, e.Younger
+	if younger != r.younger {
+		r.note("younger process", "there", younger)
+		r.younger = younger
+		// From here on the younger has the budget of cold servers.
+		r.table.Balancer.Yield(younger)
+	}
+	if elder != r.elder {
+		r.note("elder process", "there", elder)
+		r.elder = elder
+	}
+	r.share()
+	if younger && e.Leave {
+		r.do(Effect{Do: Bequeath, Left: r.handover()})
+	}
+}
+
+// share holds this process to its part of the descriptors and links while there is another: to what it has, or
+// half of what there is where that is more; the younger to the rest.
+func (r *Reducer) share() {
+	files, links := r.files, r.allHeld
+	half := func(n, reserves int) int { return (n - reserves) / 2 }
+	switch {
+	case r.younger:
+		if files < math.MaxInt {
+			files = min(max(half(files+r.reserve, 2*r.reserve), len(r.ends)), files)
+		}
+		links = max(half(links, 0), r.links)
+	case r.elder && r.left != nil:
+		if files < math.MaxInt {
+			files -= min(r.left.Files, files)
+		}
+		links -= min(r.left.Links, links)
+	case r.elder:
+		if files < math.MaxInt {
+			files = half(files+r.reserve, 2*r.reserve)
+		}
+		links = half(links, 0)
+	}
+	if r.elder { // however little the elder leaves
+		files, links = max(files, fewHeads+perLink), max(links, 1)
+	}
+	r.most, r.mostHeld = files, links
+	r.room = r.most
+	if r.most < math.MaxInt {
+		r.room -= r.mostMute()
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,6 +61,7 @@
 	askPart    = 0.8      // of the time after which silence counts as told
 	askRelay   = 1000.0   // between two relays' asking of the list anew
 	askSpread  = 20.0     // between two relays' first asking
+	fitPart    = 0.75     // of the servers, whose figures make a relay fit to take over
 )
 
 // buckets is the paper's formula. A load that is not known comes in as the mean.
@@ -121,7 +122,7 @@
 	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
 	due := sum * pace * min(now-w.asked, 1.5*w.span) / max(l.load/b.shares.loadMean, 0.1)
 	w.asked = now
-	if lot := b.turns.chance.Float64(); pick >= 0 && lot < due && (lot < cold/all || b.seen(pick, now)) {
+	if lot := b.turns.chance.Float64(); !w.yield && pick >= 0 && lot < due && (lot < cold/all || b.seen(pick, now)) {
 		l.spare = lot >= cold/all
 		return pick
 	}
@@ -589,10 +590,13 @@
 // Leave says how long the nth of so many links that must go is left where it is: to the end of what a stop
 // leaves, as a relay stopped before may not be back yet, or as a server goes (0). Paced against a fleet that
 // is placed anew by one late report: they come again at once. By chance within its part of the time where there
-// are other relays, against many with a link each: every one is its relay's first, and all go in one moment.
+// are other relays, against many with a link each: every one is its relay's first, and all go in one moment. As
+// another process of this relay takes them at once, a stop has all its time.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
 	over := leaveOver
-	if within > 0 && b.shares.relays < 2 {
+	if within > 0 && b.warmup.yield {
+		over = min(within, leaveOver)
+	} else if within > 0 && b.shares.relays < 2 {
 		return within // nobody else takes them
 	} else if within > 0 {
 		over = min(within, stopOver)
@@ -601,6 +605,21 @@
 	return max(within-over, 0) + over*(float64(nth)+lot)/float64(of)
 }
 
+// Fit tells whether what is known is enough to serve beside another process of the same relay, which serves until
+// then: figures of most servers. Where links ask as they come, or nothing can be asked, there is nothing to wait for.
+func (b *Balancer) Fit(now float64) bool {
+	all, told := 0.0, 0.0
+	for s, c := range b.condition {
+		if c == Ready && b.health.good(s) {
+			if all++; now < b.probing.heardAt[s]+slowest {
+				told++
+			}
+		}
+	}
+	part, _ := b.spread()
+	return !b.probing.allowed || part < 1 || (all > 0 && told >= fitPart*all)
+}
+
 // dueAt is when a server that was asked is asked again.
 func (b *Balancer) dueAt(s int, every float64) float64 {
 	if b.health.failed[s] > 0 {
--- a/logic/types.go
+++ b/logic/types.go
@@ -209,6 +209,7 @@
 
 	since []float64 // when it started cold, or -Inf
 	asked float64   // when a link last asked for a cold server
+	yield bool      // another process of this relay has the budget
 }
 
 // NewWarmup takes the part of its capacity a server starts at, when it is warm, the multiple of its present
@@ -518,6 +519,9 @@
 	return b.track.listed, b.track.listed - b.track.usable
 }
 
+// Yield has this process send nothing to cold servers while another of the same relay does: against two budgets.
+func (b *Balancer) Yield(on bool) { b.warmup.yield = on }
+
 // Knows tells whether the settings name the category.
 func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
 
