Standing links go to the younger process with their descriptors

Ruled out: ready too late (0.1 s) and the door (0 ended there). Change: Part, Given and Adopt in the reducer (succession.go), passing.go and handover's Pass by SCM_RIGHTS; reads of both sockets are locked while a link is on its way; nbio's epoll set is cleared by hand, as the kernel does it only for the last holder. What can't be passed is moved as before.

--- a/cmd/valeshift/upgrade_test.go
+++ b/cmd/valeshift/upgrade_test.go
@@ -224,3 +224,38 @@
 	first.wait(`msg=stopping "for a younger process"=false`)
 	assert.Zero(t, first.exit())
 }
+
+// A standing link goes on at the younger process, half a line and all, and the elder's end is nothing to it; where
+// the younger can't be reached, it is moved.
+func TestStandingLinkHandedOver(t *testing.T) {
+	b := newBackend(t, "b1")
+	g := newGround(t, b)
+	r, at := g.starts()
+	yes(t, at)
+	client, server := r.stands(b)
+	quiet, _ := r.stands(b)
+	for n := range 2 {
+		server.Write([]byte("half "))
+		client.say("ask")
+		assert.Equal(t, "ask", server.hear())
+		time.Sleep(20 * time.Millisecond) // for the half line to be there
+		next, at := g.starts()
+		yes(t, at)
+		r.signal(syscall.SIGTERM)
+		assert.Zero(t, r.exit(), r.text())
+		r.wait(`"endings.handed over"=2`)
+		server.say("a line")
+		assert.Equal(t, "half a line", client.hear(), "%d", n)
+		client.say("more")
+		assert.Equal(t, "more", server.hear())
+		r = next
+	}
+	next, at := g.starts()
+	yes(t, at)
+	require.NoError(t, os.Remove(g.dir+"/valeshift.4.way"))
+	r.signal(syscall.SIGTERM)
+	assert.Equal(t, []string{"MOVE", "end"}, []string{client.hear(), client.hear()})
+	assert.Equal(t, []string{"MOVE", "end"}, []string{quiet.hear(), quiet.hear()})
+	assert.Zero(t, r.exit(), r.text())
+	next.stands(b)
+}
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -48,6 +48,7 @@
 	Accepted(now float64, l *logic.Link)
 	Weighed(l *logic.Link, load float64)
 	Resumed(now float64, l *logic.Link, id uint32)
+	Adopted(now float64, l *logic.Link, id uint32, load float64, measured bool)
 	Vanished(l *logic.Link) bool
 
 	Leave(nth, of int, within float64) float64
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -134,3 +134,61 @@
 		syscall.Close(fd)
 	}
 }
+
+// Two connections go from one process to the other with a record, and stay where they are if that one won't have
+// them.
+func TestPass(t *testing.T) {
+	dir := t.TempDir()
+	a, b := sit(t, dir), sit(t, dir)
+	_, err := a.Way(2)
+	assert.Error(t, err, "nobody listens there")
+	var got []string
+	var kept [Pair]*os.File
+	require.NoError(t, b.Takes(func(record []byte, files [Pair]*os.File) bool {
+		got = append(got, string(record))
+		if string(record) != "good" {
+			return false
+		}
+		for i, f := range files {
+			fd, _ := syscall.Dup(int(f.Fd()))
+			kept[i] = os.NewFile(uintptr(fd), "kept")
+		}
+		return true
+	}))
+	way, err := a.Way(2)
+	require.NoError(t, err)
+	defer way.Close()
+	var fds [Pair]int
+	var far [Pair]int
+	for i := range fds {
+		pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM, 0)
+		require.NoError(t, err)
+		fds[i], far[i] = pair[0], pair[1]
+	}
+	gone, err := way.Pass([]byte("bad"), fds)
+	assert.ErrorIs(t, err, ErrRefused)
+	assert.False(t, gone)
+	gone, err = way.Pass(make([]byte, packet+1), fds)
+	assert.ErrorContains(t, err, "at the most")
+	assert.False(t, gone)
+	_, _, err = way.conn.WriteMsgUnix([]byte("alone"), syscall.UnixRights(fds[0]), nil)
+	require.NoError(t, err)
+	answer := make([]byte, 100)
+	n, err := way.conn.Read(answer)
+	require.NoError(t, err)
+	assert.Equal(t, refused, string(answer[:n]), "one descriptor")
+	gone, err = way.Pass([]byte("good"), fds)
+	require.NoError(t, err)
+	assert.True(t, gone)
+	assert.Equal(t, []string{"bad", "good"}, got)
+	for i := range fds {
+		syscall.Close(fds[i])
+		_, err := syscall.Write(far[i], []byte("on"))
+		require.NoError(t, err, "it goes on there")
+		n, err := kept[i].Read(answer)
+		require.NoError(t, err)
+		assert.Equal(t, "on", string(answer[:n]))
+		kept[i].Close()
+		syscall.Close(far[i])
+	}
+}
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -251,3 +251,8 @@
 
 // Inherit takes nothing.
 func (m *Module) Inherit(float64, *logic.Record) error { return nil }
+
+// Adopted takes a link that stood at another process.
+func (m *Module) Adopted(now float64, l *logic.Link, id uint32, _ float64, _ bool) {
+	m.Resumed(now, l, id)
+}
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -47,6 +47,12 @@
 	return line, data[n:], nil
 }
 
+// Tail is the start of a line whose end has not come, and Resume goes on from it.
+func (s *Splitter) Tail() []byte { return s.tail }
+
+// Resume goes on from the start of a line that another splitter kept.
+func (s *Splitter) Resume(tail []byte) { s.tail = append([]byte(nil), tail...) }
+
 // Partial tells whether the start of a line is kept.
 func (s *Splitter) Partial() bool { return len(s.tail) > 0 }
 
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -7,7 +7,7 @@
 
 // Counters is what was counted since the start.
 type Counters struct {
-	Accepted, Pings, Heads, Resumed, Holds         uint64 // taken in
+	Accepted, Pings, Heads, Resumed, Holds, Handed uint64 // taken in; Handed: by the elder process
 	Reloads, BadReloads                            uint64
 	BadClients                                     [len(badNames)]uint64
 	Tries, Written, Probes, Watches                uint64 // sent; Written: heads
@@ -22,7 +22,7 @@
 	endings, bad := counted[Ending](c.Endings[:]), counted[Badness](c.BadClients[:])
 	log.Info("counters", "why", why,
 		slog.Group("in", "accepted", c.Accepted, "pings", c.Pings, "heads", c.Heads,
-			"resumed", c.Resumed, "holds", c.Holds, "pieces", c.Pieces,
+			"resumed", c.Resumed, "handed", c.Handed, "holds", c.Holds, "pieces", c.Pieces,
 			"reloads", c.Reloads, "bad reloads", c.BadReloads),
 		slog.Group("sent", "tries", c.Tries, "written", c.Written, "probes", c.Probes, "watches", c.Watches, "lines", c.Lines),
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -26,13 +26,14 @@
 	MovedAway                  // this relay sent the client elsewhere
 	ClientDone                 // the client ended it
 	ClientBroke                // the client broke it
+	HandedOver                 // the younger process has it
 )
 
 var endingNames = [...]string{"not sent", "never up", "turned down", "backend error", "bad answer",
 	"broke off",
 	"no answer", "served out", "sent away", "broke up", "fell silent", "slow reader", "moved away",
 	"client done",
-	"client broke"}
+	"client broke", "handed over"}
 
 func (e Ending) String() string { return endingNames[e] }
 
@@ -51,7 +52,7 @@
 		return logic.TimedOut
 	case ServedOut, ClientDone:
 		return logic.Satisfied
-	case SentAway, MovedAway, ClientBroke, SlowReader:
+	case SentAway, MovedAway, ClientBroke, SlowReader, HandedOver:
 		return logic.CalledOff
 	}
 	return logic.Broken
--- /dev/null
+++ b/internal/relay/passing.go
@@ -0,0 +1,207 @@
+package relay
+
+// This file is where the sockets of a link that stands go from the elder process to the younger. It carries out
+// what the reducer asks for and tells how it went; it must never decide which link goes, nor know what its bytes
+// mean.
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"github.com/lesismal/nbio"
+
+	"valeshift/internal/handover"
+)
+
+const mostEpoll = 64 // descriptors among which the poller's own is looked for: it is opened at the start
+
+// passing is the way to the younger process.
+type passing struct {
+	mutex   sync.Mutex // over the way, one link at a time
+	way     *handover.Way
+	closed  bool
+	pending sync.WaitGroup
+	epoll   int // the poller's own descriptor, once found
+}
+
+// pass passes one link, and tells the reducer whether it is gone. Both sockets' reads are locked from before the
+// reducer gives the link up until that is known: against bytes read here that belong to the other process.
+func (s *Sockets) pass(client, server uint64) {
+	p := &s.passing
+	defer p.pending.Done()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	s.mutex.Lock()
+	c, b, number := s.open[client], s.open[server], s.younger
+	s.mutex.Unlock()
+	if c == nil || b == nil || !s.wayOpen(number) {
+		return
+	}
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	record, fds := s.part(client, c, b)
+	if record == nil {
+		return
+	}
+	text, err := json.Marshal(record)
+	gone := false
+	if err == nil {
+		gone, err = p.way.Pass(text, fds)
+	}
+	for _, fd := range fds {
+		syscall.Close(fd)
+	}
+	if err != nil && !errors.Is(err, handover.ErrRefused) {
+		s.log.Warn("can't pass a link", "err", err)
+		p.way.Close()
+		p.closed = true
+	}
+	s.mutex.Lock()
+	if gone {
+		c.passed, b.passed = true, true
+		delete(s.open, client)
+		delete(s.open, server)
+	} else {
+		s.again(c)
+		s.again(b)
+	}
+	s.mutex.Unlock()
+	s.take(Event{Kind: Given, Conn: client, Off: !gone})
+	if gone { // the other process's descriptors keep them up
+		c.nb.Close()
+		b.nb.Close()
+	}
+}
+
+func (s *Sockets) wayOpen(number int) bool {
+	p := &s.passing
+	if p.way == nil && !p.closed {
+		var err error
+		if p.way, err = s.seat.Way(number); err != nil {
+			s.log.Warn("no way to the younger process", "err", err)
+			p.closed = true
+		}
+	}
+	return !p.closed
+}
+
+// part has the reducer give the link up, and takes its sockets out of the poller, with descriptors of their own
+// to be sent. All under the relay's lock: no descriptor's number can come to another connection meanwhile.
+func (s *Sockets) part(client uint64, c, b *socket) (*Passed, [handover.Pair]int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var fds [handover.Pair]int
+	both := [...]*socket{c, b}
+	for _, k := range both {
+		if k.unsent.Load() > 0 || k.closing.Load() || over(k.nb) {
+			return nil, fds
+		}
+	}
+	s.parted = nil
+	s.carryOut(s.reducer.Take(s.now(), Event{Kind: Part, Conn: client}))
+	record := s.parted
+	if record == nil {
+		return nil, fds
+	}
+	ok := true
+	for i, k := range both {
+		fds[i] = -1
+		if ok = ok && s.unpoll(k.nb.Hash()) == nil; ok {
+			fd, err := syscall.Dup(k.nb.Hash())
+			if ok = err == nil && !over(k.nb); err == nil {
+				fds[i] = fd
+			}
+		}
+	}
+	if ok {
+		return record, fds
+	}
+	for i, k := range both {
+		if fds[i] >= 0 {
+			syscall.Close(fds[i])
+		}
+		s.again(k)
+	}
+	s.carryOut(s.reducer.Take(s.now(), Event{Kind: Given, Conn: client, Off: true}))
+	return nil, fds
+}
+
+// over tells whether nbio has closed the connection; its lock orders that before.
+func over(nb *nbio.Conn) bool {
+	nb.ExecuteLen()
+	closed, _ := nb.IsClosed()
+	return closed
+}
+
+// again has the poller look after the connection as before.
+func (s *Sockets) again(c *socket) {
+	if !over(c.nb) {
+		s.engine.AddConn(c.nb)
+	}
+}
+
+// unpoll takes a descriptor out of the poller's set. nbio 1.6.8 leaves that to the kernel, which does so only once
+// no process holds the connection; and it tells nobody its set, which is found as the one that has the descriptor.
+func (s *Sockets) unpoll(fd int) error {
+	p := &s.passing
+	if p.epoll > 0 {
+		return syscall.EpollCtl(p.epoll, syscall.EPOLL_CTL_DEL, fd, nil)
+	}
+	for set := 3; set < mostEpoll; set++ {
+		if set != fd && syscall.EpollCtl(set, syscall.EPOLL_CTL_DEL, fd, nil) == nil {
+			p.epoll = set
+			return nil
+		}
+	}
+	return syscall.ENOENT
+}
+
+// adopt takes a link that the elder process passes.
+func (s *Sockets) adopt(text []byte, files [handover.Pair]*os.File) bool {
+	record := &Passed{}
+	if json.Unmarshal(text, record) != nil {
+		return false
+	}
+	var both [handover.Pair]*nbio.Conn
+	for i, f := range files {
+		plain, err := net.FileConn(f)
+		if err == nil {
+			both[i], err = nbio.NBConn(plain)
+		}
+		if err != nil {
+			if both[0] != nil {
+				both[0].Close()
+			}
+			return false
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.clients++
+	client := s.clients
+	s.adopted = 0
+	s.carryOut(s.reducer.Take(s.now(), Event{Kind: Adopt, Conn: client, Passed: record}))
+	if s.adopted == 0 {
+		both[0].Close()
+		both[1].Close()
+		return false
+	}
+	for i, conn := range [...]uint64{client, s.adopted} {
+		c := &socket{conn: conn, nb: both[i]}
+		both[i].SetSession(c)
+		s.open[conn] = c
+		if _, err := s.engine.AddConn(both[i]); err != nil {
+			s.work.do(func() { s.take(Event{Kind: Over, Conn: conn, Broken: true}) })
+		}
+	}
+	if s.board != nil {
+		s.board.publish(s.reducer)
+	}
+	return true
+}
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -37,6 +37,9 @@
 	Stop                   // the relay is to stop
 	LameDuck               // the relay is to be emptied, or (Off) to go back to work
 	Beside                 // which other processes of this relay are alive
+	Part                   // the standing link of the client Conn can be passed to the younger process now
+	Given                  // and is there, or (Off) stays here
+	Adopt                  // the elder process passes a standing link, Passed, its client to be Conn
 	Reload                 // the file was read again
 )
 
@@ -48,7 +51,7 @@
 	Broken bool // Over: by a reset, not by an end
 	Unsent bool // Over: with something not written yet
 	Slow   bool // Over: as it took in too little of what was written
-	Off    bool // LameDuck
+	Off    bool // LameDuck, Given
 	Yield  bool // Stop: a younger process takes the clients from now on
 
 	Elder, Younger, Leave bool // Beside; Leave: the younger is to be left what is known
@@ -56,6 +59,8 @@
 	News *News
 	Err  error  // ListFailed; Reload: why the file can't be used
 	Text string // Reload: the address of discovery
+
+	Passed *Passed // Adopt
 }
 
 // Do is what an effect asks for.
@@ -74,20 +79,25 @@
 	Free     // and again
 	Note     // a line for the log
 	Quit     // all is done
+	Pass     // the standing link of the client Conn and the backend's connection Peer to the younger process: Part
+	Parted   // it is given up, as Passed, until Given
+	Adopted  // a passed link is here, with the backend's connection as Peer
 	Ready    // the relay is fit to serve from now on
 	Bequeath // leave Left to the younger process
 )
 
 // Effect is one thing to be done, in order.
 type Effect struct {
-	Do    Do
-	Conn  uint64
-	Text  string // Dial, Watch: the address; Note: what is said
-	Parts [][]byte
-	At    float64
-	After uint64
-	Args  []any
-	Left  *Handover
+	Do     Do
+	Conn   uint64
+	Text   string // Dial, Watch: the address; Note: what is said
+	Parts  [][]byte
+	At     float64
+	After  uint64
+	Args   []any
+	Left   *Handover
+	Peer   uint64
+	Passed *Passed
 }
 
 const (
@@ -149,6 +159,7 @@
 	trying                // a setup try is out
 	resuming              // it stood before the start, and its backend is asked
 	standing
+	parting // it stands, and is on its way to the younger process
 	done
 )
 
@@ -163,6 +174,7 @@
 	giveUp float64
 	last   Ending // what the backend said of the end to come
 	ending bool   // it said so
+	broke  bool   // a side did while it was parting
 	quiet  timer  // for lines that bring nothing back
 	leave  timer
 }
@@ -321,6 +333,12 @@
 		r.lameDuck(!e.Off)
 	case Beside:
 		r.beside(e)
+	case Part:
+		r.part(e.Conn)
+	case Given:
+		r.given(e.Conn, !e.Off)
+	case Adopt:
+		r.adopt(e.Conn, e.Passed)
 	case Reload:
 		r.reload(e)
 	}
@@ -458,6 +476,8 @@
 	switch l := c.link; {
 	case l == nil:
 		r.probeEvent(c, e)
+	case l.stage == parting:
+		l.broke = l.broke || e.Kind == Over
 	case c.backend == nil && e.Kind == Came:
 		r.fromClient(l, e.Data)
 	case c.backend == nil:
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -47,6 +47,8 @@
 	unsent  atomic.Int64 // bytes written to nbio that the kernel has not taken
 	closing atomic.Bool  // once that is none
 	dropped int          // bytes that came since, and went nowhere
+	reading sync.Mutex   // held while it is read
+	passed  bool         // to the younger process, under reading
 }
 
 // Sockets runs one relay.
@@ -72,7 +74,11 @@
 	listener *net.TCPListener
 	seat     *handover.Seat // among the processes of this relay; nil: there can be no other
 	younger  int            // number of the one that was left to
-	besides  Event          // who was there at the last look
+	passing  passing
+	parted   *Passed // and
+	adopted  uint64  // of the event that is carried out
+	clients  uint64  // accepted or adopted
+	besides  Event   // who was there at the last look
 }
 
 // Serve runs the relay until it has stopped. Again reads anew what the relay is told, and gives what is to be
@@ -113,6 +119,9 @@
 		s.board = newBoard(reducer)
 		go ops.Serve(called, calls{s, s.board}, log)
 	}
+	if s.seat != nil {
+		s.said(s.seat.Takes(s.adopt))
+	}
 	s.take(Event{Kind: Tick})
 	go s.accept()
 	log.Info("serving", "name", t.Name, "listen", s.listener.Addr().String(), "backends", len(t.Known.Entries))
@@ -134,6 +143,7 @@
 		case <-reload:
 			s.take(s.reloaded(again()))
 		case <-s.quit:
+			s.passing.pending.Wait()
 			s.drain()
 			s.counters("exit")
 			return nil
@@ -291,6 +301,14 @@
 		case Bequeath:
 			number, left := s.younger, e.Left
 			s.work.do(func() { s.bequeath(number, left) })
+		case Pass:
+			client, server := e.Conn, e.Peer
+			s.passing.pending.Add(1)
+			s.work.do(func() { s.pass(client, server) })
+		case Parted:
+			s.parted = e.Passed
+		case Adopted:
+			s.adopted = e.Peer
 		case Quit:
 			close(s.quit)
 		}
@@ -300,7 +318,7 @@
 // accept takes clients in. It waits where there is none to be had, against spinning without descriptors;
 // nbio's own listener asks again at once.
 func (s *Sockets) accept() {
-	for conn := uint64(1); ; conn++ {
+	for {
 		s.mutex.Lock()
 		for s.held {
 			s.freed.Wait()
@@ -313,6 +331,10 @@
 			}
 			continue
 		}
+		s.mutex.Lock()
+		s.clients++
+		conn := s.clients
+		s.mutex.Unlock()
 		s.hold(conn, plain, Opened)
 	}
 }
@@ -407,7 +429,9 @@
 	s.mutex.Lock() // the one it was handed over under, as nbio orders nothing between its goroutines
 	c := nb.Session().(*socket)
 	s.mutex.Unlock()
-	for {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	for !c.passed {
 		n, err := nb.Read(buffer)
 		switch {
 		case n > 0 && c.closing.Load():
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -148,3 +148,108 @@
 		r.room -= r.mostMute()
 	}
 }
+
+// Passed is a link that stands, on its way from one process of the relay to another. The two may be of different
+// versions of the program, so that all is by name and the younger refuses what it doesn't know.
+type Passed struct {
+	Version             int
+	ID, Category, Party string
+	Key, Group          uint64
+	Backend             string
+	Load                float64
+	Measured            bool
+	Tail                []byte  // of a line whose end the backend has not sent yet
+	Waits               bool    // a line of the client's waits for its answer
+	Leaves              float64 // in so many milliseconds, as its backend goes; -1: it stays
+}
+
+// pass has the sockets pass the link on when they can.
+func (r *Reducer) pass(l *link) {
+	r.do(Effect{Do: Pass, Conn: l.client.conn, Peer: l.server.conn})
+}
+
+func nameOf(names map[string]int, number int) string {
+	for name, n := range names {
+		if n == number {
+			return name
+		}
+	}
+	return ""
+}
+
+// part gives a link up for as long as it is on its way: nothing that is told of it counts until given.
+func (r *Reducer) part(conn uint64) {
+	c := r.ends[conn]
+	if c == nil || c.link.stage != standing || c.link.ending {
+		return
+	}
+	l := c.link
+	l.stage = parting
+	p := &Passed{Version: handoverVersion, ID: l.id, Category: nameOf(r.categories, l.Category),
+		Party: nameOf(r.parties, l.Party), Key: l.Key, Group: l.Group, Backend: l.server.backend.Name,
+		Tail: l.server.in.Tail(), Waits: l.quiet.place > 0, Leaves: -1}
+	p.Load, p.Measured = l.Link.Link.Load()
+	if l.server.backend.condition != logic.Ready && l.leave.place > 0 {
+		p.Leaves = max(l.leave.at-r.now, 0)
+	}
+	r.do(Effect{Do: Parted, Conn: conn, Passed: p})
+}
+
+// given takes that the younger process has the link, or that it stays.
+func (r *Reducer) given(conn uint64, gone bool) {
+	c := r.ends[conn]
+	if c == nil || c.link.stage != parting {
+		return
+	}
+	l := c.link
+	l.stage = standing
+	if gone {
+		r.finish(l, HandedOver, End) // the sockets have none of it any more
+	} else if l.broke {
+		r.finish(l, BrokeUp, Break)
+	}
+}
+
+// adopt takes a link that stands from the elder process, with its part of the limits. One that is not known to
+// this process as it is to the elder is refused.
+func (r *Reducer) adopt(conn uint64, p *Passed) {
+	category, known := r.categories[p.Category]
+	party, named := r.parties[p.Party]
+	b := r.backends[p.Backend]
+	if p.Version != handoverVersion || !known || b == nil || !(p.Load >= 0 && p.Load < math.MaxFloat64) || p.ID == "" ||
+		r.ids[p.ID] != nil || (p.Party != "" && !named) || r.stopping {
+		r.note("refused a link of the elder process", "version", p.Version, "category", p.Category,
+			"backend", p.Backend)
+		return
+	}
+	l := &link{id: p.ID}
+	l.Category, l.Party, l.Key, l.Group = category, party, p.Key, p.Group
+	if !named {
+		l.Party = len(r.parties)
+	}
+	r.Handed++
+	l.client = r.add(&end{conn: conn, link: l, since: r.now})
+	r.dials++
+	l.server = r.add(&end{conn: r.dials, backend: b, link: l, up: true})
+	l.server.in.Resume(p.Tail)
+	r.links++
+	r.ids[l.id] = l
+	if r.left != nil {
+		r.left.Files, r.left.Links = max(r.left.Files-perLink, 0), max(r.left.Links-1, 0)
+		r.share()
+	}
+	r.table.Balancer.Adopted(r.now, &l.Link.Link, b.id, p.Load, p.Measured)
+	r.stands(l)
+	if p.Waits {
+		r.arm(&l.quiet, r.now+silence)
+	}
+	switch {
+	case p.Leaves >= 0:
+		r.arm(&l.leave, r.now+p.Leaves)
+	case r.lame:
+		r.arm(&l.leave, max(r.now, r.leaveAt(0, 1)))
+	default:
+		r.leaves(b, l, len(b.links)-1)
+	}
+	r.do(Effect{Do: Adopted, Conn: conn, Peer: l.server.conn})
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -550,6 +550,16 @@
 	b.book(l)
 }
 
+// Adopted takes a link that stood at another process of this relay, with what it weighed there.
+func (b *Balancer) Adopted(now float64, l *Link, id uint32, load float64, measured bool) {
+	b.Resumed(now, l, id)
+	b.linkLoads[l.server] += load - l.load
+	l.load, l.measured = load, measured
+}
+
+// Load is what a link is held to weigh, and whether that was measured.
+func (l *Link) Load() (load float64, measured bool) { return l.load, l.measured }
+
 // expire has the table built anew at the next link.
 func (t *Turns) expire() { t.stale, t.built = true, math.Inf(-1) }
 
