--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -93,6 +94,7 @@
 	Asks     int
 	Tries    int
 	Lines    int
+	Turned   int // clients that a relay did not let in while it was replaced
 }
 
 // New takes how much later than it was said a thing may be seen, and the multiple of its present capacity that
@@ -328,6 +330,22 @@
 	}
 }
 
+// Emptied takes that a relay that operators empty may hold nobody any more.
+func (a *Auditor) Emptied(now float64, relay int) {
+	for _, id := range slices.Sorted(maps.Keys(a.links)) {
+		l := a.links[id]
+		if l.relay == relay && l.life == a.lives[relay] && l.answered == "UP" && !l.over && !l.moved && !l.closed {
+			a.breaks(Lines, now, id, "still held by a relay that was to empty itself")
+		}
+	}
+}
+
+// Door takes that a relay that is being replaced has let a client down at the door.
+func (a *Auditor) Door(now float64, relay int) {
+	a.Turned++
+	a.breaks(FinalAnswer, now, "-", "relay %d, being replaced, did not let a client in", relay)
+}
+
 // Dark takes that nothing passes to a server, or again. What stood on it is marked for good.
 func (a *Auditor) Dark(now float64, server string, dark bool) {
 	a.dark[server] = dark
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -132,6 +132,8 @@
 	"discovery-back":  "the list counts its versions anew from 1, at the start",
 	"relay-kill":      "relays are killed, and come back",
 	"relay-restart":   "relays are stopped by SIGTERM, and come back",
+	"relay-drain":     "operators empty relays, and take them back to work at the end",
+	"relay-replace":   "another process takes each relay over, on the same socket",
 	"reload":          "relays are given another address of discovery",
 	"wave":            "that share of the clients lose their connections at once",
 	"burst":           "new clients come at that multiple of the rate (factor)",
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -66,6 +67,9 @@
 	alive   bool
 	turn    int
 	log     *os.File
+	socket  *os.File  // the clients', held here where a process can be replaced; else nil
+	elder   *exec.Cmd // while it is being replaced
+	ops     string    // where operators call
 }
 
 // Play plays an experiment with relays of that program; files and logs go to dir.
@@ -138,7 +142,18 @@
 // prepare gives a relay its address and two discoveries of its own, so that each knows whom it tells.
 func (r *Run) prepare(p *process) error {
 	var err error
-	if p.address, err = proc.Free(); err != nil {
+	if slices.ContainsFunc(r.x.Faults, func(f experiment.Fault) bool { return f.Kind == "relay-replace" }) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		p.address = l.Addr().String()
+		if p.socket, err = l.(*net.TCPListener).File(); err != nil {
+			return err
+		}
+		l.Close() // the file holds it
+		context.AfterFunc(r.ctx, func() { p.socket.Close() })
+	} else if p.address, err = proc.Free(); err != nil {
 		return err
 	}
 	for i := range p.lists {
@@ -158,10 +173,10 @@
 // configure writes the relay's configuration.
 func (r *Run) configure(p *process) error {
 	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("relay-%d", p.number), "listen": p.address,
-		"discovery": p.lists[p.using],
-		"seed":      strconv.FormatUint(r.x.Chance("relay", p.number*1000+p.turn).Uint64(), 16),
-		"limits":    map[string]any{"cores": 1, "memory_mb": 0, "sockets": r.x.Relays.Sockets},
-		"settings":  r.x.Told(p.number % r.x.Fleet.Zones)})
+		"discovery": p.lists[p.using], "ops": p.ops,
+		"seed":     strconv.FormatUint(r.x.Chance("relay", p.number*1000+p.turn).Uint64(), 16),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 0, "sockets": r.x.Relays.Sockets},
+		"settings": r.x.Told(p.number % r.x.Fleet.Zones)})
 	if err != nil {
 		return err
 	}
@@ -172,14 +187,29 @@
 	return filepath.Join(r.dir, fmt.Sprintf("relay-%d.json", p.number))
 }
 
+func (r *Run) shared(p *process) string {
+	return filepath.Join(r.dir, fmt.Sprintf("relay-%d", p.number))
+}
+
 func (r *Run) launch(p *process) error {
 	p.turn++
+	var err error
+	if p.ops, err = proc.Free(); err != nil {
+		return err
+	}
 	if err := r.configure(p); err != nil {
 		return err
 	}
 	p.cmd = exec.Command(r.binary)
 	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.file(p), "RELAY_NAME=", "RELAY_LISTEN=",
-		"RELAY_DISCOVERY=")
+		"RELAY_DISCOVERY=", "RELAY_OPS=")
+	if p.socket != nil {
+		p.cmd.ExtraFiles = []*os.File{p.socket}
+		p.cmd.Env = append(p.cmd.Env, "RELAY_SOCKET_FD=3", "TMPDIR="+r.shared(p))
+		if err := os.MkdirAll(r.shared(p), 0o700); err != nil {
+			return err
+		}
+	}
 	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
 		return fmt.Errorf("relay: %w", err)
@@ -271,23 +301,96 @@
 	p := r.relays[i]
 	p.alive = false
 	p.cmd.Process.Kill()
+	if p.elder != nil {
+		p.elder.Process.Kill()
+	}
 }
 
-// Stop has a relay stop as planned, and kills it when the platform would.
-func (r *Run) Stop(i int) {
-	p, longest := r.relays[i], 0.0
-	for _, t := range r.x.Traffic {
-		longest = max(longest, float64(t.HardLimit))
+// call makes one operators' call beside the model, and tells afterwards, under its lock, whether it was yes.
+func (r *Run) call(address, method, path string, then func(yes bool)) {
+	go func() {
+		client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+		request, err := http.NewRequestWithContext(r.ctx, method, "http://"+address+path, nil)
+		yes := false
+		if err == nil {
+			var answer *http.Response
+			if answer, err = client.Do(request); err == nil {
+				yes = answer.StatusCode < 300
+				answer.Body.Close()
+			}
+		}
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		if !r.closed {
+			then(yes)
+		}
+	}()
+}
+
+// LameDuck has operators empty a relay, or take it back to work.
+func (r *Run) LameDuck(i int, on bool) {
+	path := "/_lameduck/off"
+	if on {
+		path = "/_lameduck/on"
+	}
+	r.call(r.relays[i].ops, http.MethodPost, path, func(bool) {})
+}
+
+// Replace starts another process beside a relay's; once that says that it is ready, the elder is stopped.
+func (r *Run) Replace(i int, done func()) {
+	p := r.relays[i]
+	elder := p.cmd
+	if err := r.launch(p); err != nil {
+		panic(err)
 	}
+	p.elder = elder
 	turn := p.turn
+	var ask func()
+	ask = func() {
+		r.call(p.ops, http.MethodGet, "/_ready", func(yes bool) {
+			switch {
+			case p.turn != turn || !p.alive:
+			case yes:
+				elder.Process.Signal(syscall.SIGTERM)
+				r.killLater(p, elder, turn)
+				r.after(r.killAfter(), func() {
+					if p.turn == turn {
+						p.elder = nil
+						done()
+					}
+				})
+			default:
+				r.after(20, ask)
+			}
+		})
+	}
+	ask()
+}
+
+// Stop has a relay stop as planned, and kills it when the platform would.
+func (r *Run) Stop(i int) {
+	p := r.relays[i]
 	p.cmd.Process.Signal(syscall.SIGTERM)
-	r.after(min(longest, 3000)+700, func() {
-		if p.turn == turn && p.alive {
-			p.cmd.Process.Kill()
+	r.killLater(p, p.cmd, p.turn)
+}
+
+// killLater kills a process that was told to stop, if it has not by the time that the platform gives.
+func (r *Run) killLater(p *process, cmd *exec.Cmd, turn int) {
+	r.after(r.killAfter(), func() {
+		if p.turn == turn && (p.alive || cmd != p.cmd) {
+			cmd.Process.Kill()
 		}
 	})
 }
 
+func (r *Run) killAfter() float64 {
+	longest := 0.0
+	for _, t := range r.x.Traffic {
+		longest = max(longest, float64(t.HardLimit))
+	}
+	return min(longest, 3000) + 700
+}
+
 // Start has a relay start again.
 func (r *Run) Start(i int) {
 	if err := r.launch(r.relays[i]); err != nil {
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -58,13 +58,63 @@
 share = 1
 `
 
-// Relay processes on loopback keep the rules through a drain, a kill, a reload and a planned stop.
+const replaceAndEmpty = `
+name = "replace and empty"
+seed = 3
+length = "15s"
+warm = "3s"
+[relays]
+count = 2
+[fleet]
+servers = 6
+cores = 2
+[[traffic]]
+category = "chat"
+standing = 80
+rate = 20
+life = "10s"
+load = 10
+every = "400ms"
+honours-busy = 1
+[[traffic]]
+category = "order"
+effect = "single-use"
+rate = 4
+life = "2s"
+load = 5
+every = "400ms"
+[[fault]]
+kind = "relay-replace"
+at = "4s"
+share = 1
+[[fault]]
+kind = "relay-drain"
+at = "9s"
+for = "4500ms"
+share = 0.5
+`
+
+// Relay processes on loopback keep the rules through a drain, a kill, a reload and a planned stop; and while they
+// are replaced, without a move, or emptied and taken back.
 func TestKillAndDrain(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		kinds []string
+		least float64 // service
+	}{
+		{killAndDrain, []string{"drain", "relay-kill", "relay-restart", "reload"}, 0.7},
+		{replaceAndEmpty, []string{"relay-replace", "relay-drain"}, 0.9},
+	} {
+		livePlay(t, c.text, c.kinds, c.least)
+	}
+}
+
+func livePlay(t *testing.T, text string, want []string, least float64) {
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "valeshift")
 	said, err := exec.Command("go", "build", "-race", "-o", binary, "valeshift/cmd/valeshift").CombinedOutput()
 	require.NoError(t, err, "%s", said)
-	x, err := experiment.Parse([]byte(killAndDrain))
+	x, err := experiment.Parse([]byte(text))
 	require.NoError(t, err)
 	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
 	defer stop()
@@ -79,10 +129,10 @@
 	}
 	assert.Zero(t, r.Audit.Broken())
 	assert.Greater(t, r.Tally.Answers["UP"], 100)
-	assert.Greater(t, r.Tally.Service(3000, 15000), 0.7)
+	assert.Greater(t, r.Tally.Service(3000, 15000), least)
 	var kinds []string
 	for _, m := range r.Marks {
 		kinds = append(kinds, m.Text)
 	}
-	assert.ElementsMatch(t, []string{"drain", "relay-kill", "relay-restart", "reload"}, kinds)
+	assert.ElementsMatch(t, want, kinds)
 }
--- a/internal/lab/model/crowd.go
+++ b/internal/lab/model/crowd.go
@@ -44,7 +44,8 @@
 	address string
 	zone    int
 	up      bool
-	turn    int // of what is known of it
+	turn    int  // of what is known of it
+	door    bool // it is being replaced: nobody may be turned away at the door
 }
 
 type client struct {
@@ -309,6 +310,15 @@
 	})
 }
 
+// Door says that a relay is being replaced, and must let everybody in, or no longer.
+func (c *Crowd) Door(i int, watched bool) { c.fronts[i].door = watched }
+
+func (c *Crowd) atDoor(l *client) {
+	if c.fronts[l.relay].door {
+		c.watch.Door(c.host.Now(), l.relay)
+	}
+}
+
 // RelayBack has the front ask the relay until it serves.
 func (c *Crowd) RelayBack(i int) {
 	c.fronts[i].turn++
@@ -380,9 +390,11 @@
 	now := c.host.Now()
 	switch l.stage {
 	case dialing:
+		c.atDoor(l)
 		l.retry = true
 		c.again(l, redial)
 	case waiting:
+		c.atDoor(l)
 		c.watch.Ended(now, l.id, broken)
 		c.Answers["cut"]++
 		c.at(now).Cut++
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -22,6 +22,8 @@
 	Stop(relay int) // by SIGTERM
 	Start(relay int)
 	Reload(relay int) // to the other address of discovery
+	LameDuck(relay int, on bool)
+	Replace(relay int, done func()) // by another process on the same socket; done once only that one is left
 }
 
 // World is one experiment's fleet, clients and discovery, and its faults as they come.
@@ -48,12 +50,16 @@
 
 type relayState struct {
 	up, planned bool
+	drained     bool // by operators
+	replaced    bool // just now
+	life        int
 	zone        int
 }
 
 const (
-	sampled    = 250.0 // between two looks at the servers
-	everywhere = -1    // a zone that is never cut off
+	sampled    = 250.0  // between two looks at the servers
+	emptyIn    = 4000.0 // from when operators empty a relay
+	everywhere = -1     // a zone that is never cut off
 )
 
 // NewWorld builds the fleet and its list. Begin starts the rest once the relays are there.
@@ -168,7 +174,7 @@
 
 func (w *World) someRelays(share float64) (some []int) {
 	for i := range w.relays {
-		if w.relays[i].up && !w.relays[i].planned {
+		if r := w.relays[i]; r.up && !r.planned && !r.drained && !r.replaced {
 			some = append(some, i)
 		}
 	}
@@ -277,6 +283,32 @@
 			w.Crowd.RelayGone(i, true)
 			w.ground.Stop(i)
 		}
+	case "relay-drain":
+		all := w.someRelays(f.Share)
+		for _, i := range all {
+			w.empty(i)
+		}
+		return func() {
+			for _, i := range all {
+				if w.relays[i].up && w.relays[i].drained {
+					w.relays[i].drained = false
+					w.ground.LameDuck(i, false)
+					w.Crowd.RelayBack(i)
+				}
+			}
+		}
+	case "relay-replace":
+		for _, i := range w.someRelays(f.Share) {
+			life := w.relays[i].life
+			w.relays[i].replaced = true
+			w.Crowd.Door(i, true)
+			w.ground.Replace(i, func() {
+				if w.relays[i].life == life {
+					w.relays[i].replaced = false
+					w.Crowd.Door(i, false)
+				}
+			})
+		}
 	case "reload":
 		for _, i := range w.someRelays(f.Share) {
 			w.ground.Reload(i)
@@ -290,6 +322,20 @@
 	return nil
 }
 
+// empty has operators empty a relay: the front sees it say no and deals nobody there, and some seconds on none of its
+// clients is left.
+func (w *World) empty(i int) {
+	life := w.relays[i].life
+	w.relays[i].drained = true
+	w.ground.LameDuck(i, true)
+	w.Crowd.RelayGone(i, true)
+	w.host.After(emptyIn, func() {
+		if w.relays[i].life == life && w.relays[i].drained {
+			w.watch.Emptied(w.host.Now(), i)
+		}
+	})
+}
+
 func (w *World) dark(s *Server, dark bool) {
 	w.ground.Dark(s.Address, dark)
 	w.watch.Dark(w.host.Now(), s.Name, dark)
@@ -384,7 +430,8 @@
 		return
 	}
 	planned := w.relays[i].planned
-	w.relays[i] = relayState{zone: w.relays[i].zone}
+	w.relays[i] = relayState{zone: w.relays[i].zone, life: w.relays[i].life + 1}
+	w.Crowd.Door(i, false)
 	if !planned { // one that stops as planned owes all its answers before it exits
 		w.watch.Relay(w.host.Now(), i, false)
 	}
--- a/internal/lab/sim/relay.go
+++ b/internal/lab/sim/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 
@@ -34,13 +35,19 @@
 	over   bool
 	taking bool
 	due    []relay.Event
+
+	beside *process // another process on the same socket
+	holds  bool
+	left   *relay.Handover
+	given  uint64 // the backend's connection of what is being passed
+	passed *relay.Passed
+	ready  func()
 }
 
 func newProcess(d *node, number int, brain Brain, list *model.Catalogue, watch model.Witness,
 	exit func()) *process {
 	p := &process{node: d, number: number, brain: brain, list: list, watch: watch, exit: exit,
 		conns: map[uint64]uint64{}, back: map[uint64]uint64{}, told: map[string]bool{}}
-	d.actor, d.refuse, d.closed = p, false, false
 	return p
 }
 
@@ -107,11 +114,22 @@
 		})
 	case relay.Unwatch:
 		p.unwatch()
-	case relay.Hold:
-		p.closed = true
-	case relay.Free:
-		p.closed = false
-		p.net.after(0, p.acceptWaiting)
+	case relay.Hold, relay.Free:
+		p.holds = f.Do == relay.Hold
+		p.door()
+	case relay.Ready:
+		if p.ready != nil {
+			p.ready()
+		}
+	case relay.Bequeath:
+		p.left = f.Left
+	case relay.Pass:
+		client, server := f.Conn, f.Peer
+		p.net.after(passing, func() { p.pass(client, server) })
+	case relay.Parted:
+		p.passed = f.Passed
+	case relay.Adopted:
+		p.given = f.Peer
 	case relay.Note:
 		if p.net.trace != nil {
 			p.net.tell("%s note %s %v", p.address, f.Text, f.Args)
@@ -126,6 +144,58 @@
 	}
 }
 
+// listens has this process accept at the node's socket.
+func (p *process) listens() {
+	p.node.actor, p.node.refuse = p, false
+	p.door()
+}
+
+// door has who waits at the door let in, if this is the process that does.
+func (p *process) door() {
+	if p.node.actor == p {
+		p.node.closed = p.holds
+		p.net.after(0, p.acceptWaiting)
+	}
+}
+
+const passing = 0.5 // for one link to go from one process to the other
+
+// pass passes a standing link to the process beside, in the form that it has between two real ones.
+func (p *process) pass(client, server uint64) {
+	if p.over || p.beside == nil {
+		return
+	}
+	p.passed = nil
+	p.take(relay.Event{Kind: relay.Part, Conn: client})
+	if p.passed == nil {
+		return
+	}
+	text, err := json.Marshal(p.passed)
+	passed, next := &relay.Passed{}, p.beside
+	if err == nil {
+		err = json.Unmarshal(text, passed)
+	}
+	if err != nil {
+		panic(err) // of plain values
+	}
+	gone := !next.over
+	if gone {
+		next.count++
+		next.given = 0
+		next.take(relay.Event{Kind: relay.Adopt, Conn: next.count, Passed: passed})
+		gone = next.given != 0
+	}
+	if gone {
+		for own, its := range map[uint64]uint64{client: next.count, server: next.given} {
+			conn := p.conns[own]
+			delete(p.conns, own)
+			delete(p.back, conn)
+			next.conns[its], next.back[conn] = conn, its
+		}
+	}
+	p.take(relay.Event{Kind: relay.Given, Conn: client, Off: !gone})
+}
+
 func (p *process) unwatch() {
 	if p.follow != nil {
 		p.list.Unwatch(p.follow.id)
@@ -137,15 +207,19 @@
 func (p *process) stop(killed bool) {
 	p.over = true
 	p.unwatch()
-	p.refuse = true
+	if p.node.actor == p {
+		p.refuse = true
+	}
 	for _, conn := range sorted(p.ends) {
-		p.end(conn, killed)
+		if p.back[conn] != 0 || p.node.actor == p && (p.beside == nil || p.beside.back[conn] == 0) {
+			p.end(conn, killed)
+		}
 	}
 }
 
 func (p *process) acceptWaiting() {
 	for _, conn := range sorted(p.ends) {
-		if s := p.ends[conn]; s != nil && !s.taken && s.other != nil && p.back[conn] == 0 && !p.closed && !p.over {
+		if s := p.ends[conn]; s != nil && !s.taken && s.other != nil && p.of(conn).back[conn] == 0 && !p.closed && !p.over {
 			s.accept()
 		}
 	}
@@ -158,16 +232,29 @@
 	p.take(relay.Event{Kind: relay.Opened, Conn: p.count})
 }
 
+// of is the process that has the connection.
+func (p *process) of(conn uint64) *process {
+	if p.back[conn] == 0 && p.beside != nil && p.beside.back[conn] != 0 {
+		return p.beside
+	}
+	return p
+}
+
 // Up tells that a dial is up.
-func (p *process) Up(conn uint64) { p.take(relay.Event{Kind: relay.Up, Conn: p.back[conn]}) }
+func (p *process) Up(conn uint64) {
+	p = p.of(conn)
+	p.take(relay.Event{Kind: relay.Up, Conn: p.back[conn]})
+}
 
 // Came tells bytes.
 func (p *process) Came(conn uint64, data []byte) {
+	p = p.of(conn)
 	p.take(relay.Event{Kind: relay.Came, Conn: p.back[conn], Data: data})
 }
 
 // Over tells an end from the other side.
 func (p *process) Over(conn uint64, broken bool) {
+	p = p.of(conn)
 	of := p.back[conn]
 	delete(p.back, conn)
 	delete(p.conns, of)
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"time"
@@ -96,29 +97,114 @@
 
 // start begins a life of a relay.
 func (s *Sim) start(i int) error {
+	p, err := s.process(i, nil, nil)
+	if err != nil {
+		return err
+	}
+	s.relays[i] = p
+	p.listens()
+	p.take(relay.Event{Kind: relay.Tick})
+	return nil
+}
+
+// process makes a process of a relay; beside an elder one, with what that has left.
+func (s *Sim) process(i int, elder *process, left *relay.Handover) (*process, error) {
 	x := s.x
 	s.lives[i]++
 	told := &relay.Told{Name: fmt.Sprintf("relay-%d", i), Discovery: "10.0.0.1:1", Sockets: x.Relays.Sockets,
 		Seed: x.Chance("relay", i*1000+s.lives[i]).Uint64(), Known: s.known[i],
-		Settings: x.Told(i % x.Fleet.Zones)}
+		Settings: x.Told(i % x.Fleet.Zones), Elder: elder != nil, Left: left}
 	module, err := Policy(x, s.variant, told, s.truth)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	reducer, err := relay.NewOn(s.net.now, told, module)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s.reducer[i] = reducer
 	var brain Brain = reducer
 	if s.Spoil != nil {
 		brain = s.Spoil(i, brain)
 	}
-	d := s.relays[i].node
-	p := newProcess(d, i, brain, s.world.List, s.audit, func() { s.ended(i) })
-	s.relays[i] = p
-	p.take(relay.Event{Kind: relay.Tick})
-	return nil
+	p := newProcess(s.relays[i].node, i, brain, s.world.List, s.audit, func() { s.ended(i) })
+	p.beside = elder
+	return p, nil
+}
+
+const (
+	seen    = 50.0 // until one process sees another that has come or gone
+	noticed = 20.0 // until the platform sees that the younger is ready
+)
+
+// Replace starts another process beside a relay's; once that is ready, the elder is stopped as planned.
+func (s *Sim) Replace(i int, done func()) {
+	s.net.tell("relay %d is replaced", i)
+	elder := s.relays[i]
+	elder.take(relay.Event{Kind: relay.Beside, Younger: true, Leave: true})
+	s.net.after(seen, func() {
+		if elder.over || s.relays[i] != elder {
+			return
+		}
+		text, err := json.Marshal(elder.left)
+		var left *relay.Handover
+		if err == nil {
+			left, err = relay.ReadHandover(text, s.net.now)
+		}
+		if err != nil {
+			panic(err) // a process wrote what the next can't read
+		}
+		younger, err := s.process(i, elder, left)
+		if err != nil {
+			panic(err) // it was built from the same before
+		}
+		elder.beside = younger
+		younger.ready = func() {
+			younger.listens()
+			s.net.after(noticed, func() { s.yield(i, elder, younger, done) })
+		}
+		younger.take(relay.Event{Kind: relay.Tick})
+	})
+}
+
+// yield stops the elder process, and has the younger know once it is gone.
+func (s *Sim) yield(i int, elder, younger *process, done func()) {
+	if elder.over || younger.over {
+		return
+	}
+	alone := func() {
+		s.relays[i] = younger
+		s.net.after(seen, func() {
+			younger.beside = nil
+			if !younger.over {
+				younger.take(relay.Event{Kind: relay.Beside})
+				done()
+			}
+		})
+	}
+	elder.exit = alone
+	elder.take(relay.Event{Kind: relay.Stop, Yield: true})
+	s.net.after(s.killAfter(), func() {
+		if !elder.over {
+			elder.stop(true)
+			alone()
+		}
+	})
+}
+
+// LameDuck has operators empty a relay, or take it back to work.
+func (s *Sim) LameDuck(i int, on bool) {
+	s.net.tell("relay %d lame duck %t", i, on)
+	s.relays[i].take(relay.Event{Kind: relay.LameDuck, Off: !on})
+}
+
+// killAfter is when a process that was told to stop is killed.
+func (s *Sim) killAfter() float64 {
+	longest := 0.0
+	for _, t := range s.x.Traffic {
+		longest = max(longest, float64(t.HardLimit))
+	}
+	return min(longest, 3000) + 700
 }
 
 func (s *Sim) ended(i int) {
@@ -186,18 +272,19 @@
 func (s *Sim) Kill(i int) {
 	s.net.tell("relay %d killed", i)
 	s.past[i], s.known[i] = s.reducer[i].Counters, s.world.List.Whole()
-	s.relays[i].stop(true)
+	p := s.relays[i]
+	p.stop(true)
+	if p.beside != nil && !p.beside.over {
+		p.beside.stop(true)
+	}
 }
 
 // Stop has a relay stop as planned; if it has not by the time that the platform gives, it is killed.
 func (s *Sim) Stop(i int) {
 	s.net.tell("relay %d stops", i)
-	p, longest := s.relays[i], 0.0
-	for _, t := range s.x.Traffic {
-		longest = max(longest, float64(t.HardLimit))
-	}
+	p := s.relays[i]
 	p.take(relay.Event{Kind: relay.Stop})
-	s.net.after(min(longest, 3000)+700, func() {
+	s.net.after(s.killAfter(), func() {
 		if !p.over {
 			p.stop(true)
 			s.ended(i)
