Setup tries beyond a link's first keep a budget where the settings state one

Nothing counted them (logic.go, again). It goes to the next process with the record, and the one that yields spends none.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -123,6 +123,25 @@
 	return 0
 }
 
+// budget reads the budget of setup tries beyond a link's first; without its three settings there is none.
+func (p *Pairs) budget() *logic.Budget {
+	paths := [...]string{"contract.free-resends", "contract.extra-share", "contract.extra-window-ms"}
+	there := 0
+	for _, path := range paths {
+		if _, ok := p.values[path]; ok {
+			there++
+		}
+	}
+	if there == 0 {
+		return nil
+	}
+	free, share, window := p.Number(paths[0]), p.Number(paths[1]), p.Number(paths[2])
+	if window <= 0 {
+		p.fail(paths[2], "a length over 0")
+	}
+	return logic.NewBudget(free, share, window)
+}
+
 // Assemble builds the module of one relay.
 func (p *Pairs) Assemble(seed uint64) (*logic.Balancer, error) {
 	chance := rand.New(rand.NewSource(int64(seed)))
@@ -167,7 +186,7 @@
 	warmup := logic.NewWarmup(p.Number("contract.cold-from"), p.Number("contract.cold-ms"),
 		p.Number("contract.tip-multiple"), p.Number("contract.fall-ms"), relays)
 	probing := logic.NewProbing(p.Flag("limits.probes"), p.Optional("fees.probe", 0), fields)
-	effects := logic.NewEffects(categories, p.Count("limits.most-setup-tries"), maxBack, relays)
+	effects := logic.NewEffects(categories, p.Count("limits.most-setup-tries"), maxBack, relays, p.budget())
 	shares := logic.NewShares(categories, quotas, p.Optional("beyond-share-gain", 1), relays)
 	zone := p.Count("zone")
 	if p.err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,3 +49,33 @@
 		assert.ErrorContains(t, p.Err(), "settings: "+path+":")
 	}
 }
+
+// The budget of setup tries comes whole or not at all.
+func TestBudgetSettings(t *testing.T) {
+	const free, share, window = "contract.free-resends", "contract.extra-share", "contract.extra-window-ms"
+	for _, c := range []struct {
+		name   string
+		values map[string]string
+		wrong  string
+	}{
+		{"none", map[string]string{}, ""},
+		{"whole", map[string]string{free: "3", share: "0.1", window: "5000"}, ""},
+		{"nothing given", map[string]string{free: "0", share: "0", window: "5000"}, ""},
+		{"negative", map[string]string{free: "-1", share: "0.1", window: "5000"}, free},
+		{"no number", map[string]string{free: "3", share: "some", window: "5000"}, share},
+		{"endless", map[string]string{free: "3", share: "Inf", window: "5000"}, share},
+		{"no window", map[string]string{free: "3", share: "0.1", window: "0"}, window},
+		{"without the window", map[string]string{free: "3", share: "0.1"}, window},
+		{"without the share", map[string]string{free: "3", window: "5000"}, share},
+		{"without the free ones", map[string]string{share: "0.1", window: "5000"}, free},
+	} {
+		p := Over(c.values)
+		b := p.budget()
+		if c.wrong == "" {
+			require.NoError(t, p.Err(), c.name)
+			assert.Equal(t, len(c.values) == 0, b == nil, c.name)
+		} else {
+			assert.ErrorContains(t, p.Err(), "settings: "+c.wrong+":", c.name)
+		}
+	}
+}
--- a/logic/due_test.go
+++ b/logic/due_test.go
@@ -46,7 +46,7 @@
 	chance := rand.New(rand.NewSource(seed))
 	categories := []Category{{PromisedTime: 300, Gain: 1}}
 	b := New(NewRoster(false, 0), NewTurns(chance), NewWarmup(0.2, 9000, 3, 2000, relays),
-		NewProbing(true, fee, []string{"x0"}), NewEffects(categories, 3, 900, relays),
+		NewProbing(true, fee, []string{"x0"}), NewEffects(categories, 3, 900, relays, nil),
 		NewShares(categories, nil, 1, relays), 0, 0, false, false)
 	b.ListBegan(true)
 	for s := range servers {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -146,7 +146,7 @@
 
 func (e *Effects) again(l *Link, now float64) bool {
 	c := &e.categories[l.Category]
-	if l.tries >= e.mostTries || now >= l.Limit {
+	if l.tries >= e.mostTries || now >= l.Limit || (l.tries > 0 && !e.budget.allows(now)) {
 		return false
 	}
 	return l.ran < 0 || c.Effect == Replayable || (c.Effect == Referenced && now < l.ranAt+c.RepeatWindow)
@@ -350,6 +350,7 @@
 func (b *Balancer) Place(now float64, l *Link) Answer {
 	if !l.known {
 		l.known, l.came, l.ran, l.server, l.lot = true, now, -1, -1, b.turns.chance.Uint64()
+		b.effects.budget.take(now)
 		b.guess(l)
 		if b.part, _ = b.spread(); b.part < 1 && b.capacity == 0 {
 			b.refresh(now) // against a relay's first link, often its only one, finding no budget for cold servers
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -22,6 +22,7 @@
 	Crossed float64
 	Grouped bool
 	Relays  int
+	Budget  *Budget
 	Seed    int64
 }
 
@@ -37,7 +38,7 @@
 	}
 	b := New(NewRoster(f.Asked, 10000), NewTurns(chance), NewWarmup(0.2, 20000, 3, 2000, relays),
 		NewProbing(true, 0.002, []string{"queue", "x0"}),
-		NewEffects(categories, max(f.Tries, 3), f.MaxBack, relays),
+		NewEffects(categories, max(f.Tries, 3), f.MaxBack, relays, f.Budget),
 		NewShares(categories, []float64{10, 990}, 0.2, relays), 0, f.Crossed, f.Grouped, false)
 	b.ListBegan(true)
 	for i := range f.Loads {
--- a/logic/record.go
+++ b/logic/record.go
@@ -21,6 +21,8 @@
 	AsOf           float64
 	Width, CutAt   float64
 	Asked          float64
+	Slot           float64 // of the budget; -1: none
+	Taken, More    []float64
 	Ended          map[uint64]float64
 }
 
@@ -60,6 +62,9 @@
 	r := Record{At: now, Loads: append([]float64{}, s.loads...), Weighed: append([]float64{}, s.weighed...),
 		LoadMean: s.loadMean, Known: s.known, Guessed: b.guessed, Listed: b.listed, Stood: e.stood, Over: e.over,
 		AsOf: e.asOf, Width: e.width, CutAt: e.cutAt, Asked: b.warmup.asked, Ended: map[uint64]float64{}}
+	if budget := e.budget; budget != nil {
+		r.Slot, r.Taken, r.More = none(budget.at), append(r.Taken, budget.taken[:]...), append(r.More, budget.more[:]...)
+	}
 	for i, id := range b.ids {
 		if b.condition[i] == Gone {
 			continue
@@ -93,6 +98,9 @@
 		return false
 	}
 	switch {
+	case len(r.Taken) != len(r.More) || (len(r.Taken) != 0 && len(r.Taken) != slots+1) || bad(r.Taken...) ||
+		bad(r.More...) || bad(some(r.Slot, 0)):
+		return errors.New("record: the budget's slots can't be")
 	case len(r.Loads) != categories || len(r.Weighed) != categories:
 		return errors.New("record: its categories are others")
 	case bad(r.Loads...) || bad(r.Weighed...) || bad(r.LoadMean, r.Known, r.Guessed, r.Listed, r.Stood, r.Over,
@@ -129,6 +137,11 @@
 	copy(s.weighed, r.Weighed)
 	s.loadMean, s.known, b.guessed, b.listed = r.LoadMean, r.Known, r.Guessed, r.Listed
 	e.stood, e.over, e.asOf, e.width, e.cutAt = r.Stood, r.Over, min(r.AsOf, now), r.Width, r.CutAt
+	if e.budget != nil && len(r.Taken) > 0 {
+		e.budget.at = some(r.Slot, math.Inf(-1))
+		copy(e.budget.taken[:], r.Taken)
+		copy(e.budget.more[:], r.More)
+	}
 	// What the other has saved up for cold servers it has not handed out since, and neither is it given twice.
 	b.warmup.asked = max(min(r.Asked, now), r.At)
 	for key, load := range r.Ended {
--- a/logic/types.go
+++ b/logic/types.go
@@ -293,13 +293,14 @@
 	width, cutAt      float64 // how many set-ups may be out at once
 	relays            float64
 	out               int
+	budget            *Budget // nil: none
 }
 
-// NewEffects takes the categories, the most setup tries of a link, the longest retry-after (0: none) and the
-// number of relays.
-func NewEffects(categories []Category, mostTries int, maxBack float64, relays int) *Effects {
+// NewEffects takes the categories, the most setup tries of a link, the longest retry-after (0: none), the number of
+// relays and the budget of tries beyond a link's first (nil: none).
+func NewEffects(categories []Category, mostTries int, maxBack float64, relays int, budget *Budget) *Effects {
 	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack, relays: float64(relays),
-		width: max(widest/float64(relays), 1)}
+		width: max(widest/float64(relays), 1), budget: budget}
 }
 
 // Shares values links: gain per load, less beyond a party's share.
@@ -460,6 +461,9 @@
 // sent takes that a setup try of the link goes out.
 func (b *Balancer) sent(now float64, l *Link, s int) {
 	b.effects.out++
+	if l.tries > 0 {
+		b.effects.budget.spend(now)
+	}
 	l.tries, l.server, l.sent, l.out = l.tries+1, s, now, true
 	b.book(l)
 	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
@@ -527,8 +531,14 @@
 	return b.track.listed, b.track.listed - b.track.usable
 }
 
-// Yield has this process send nothing to cold servers while another of the same relay does: against two budgets.
-func (b *Balancer) Yield(on bool) { b.warmup.yield = on }
+// Yield has this process send nothing to cold servers, and nothing beyond a link's first try where there is a budget
+// of those, while another of the same relay does: against two budgets.
+func (b *Balancer) Yield(on bool) {
+	b.warmup.yield = on
+	if budget := b.effects.budget; budget != nil {
+		budget.yield = on
+	}
+}
 
 // Knows tells whether the settings name the category.
 func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
