--- a/logic/logic.go
+++ b/logic/logic.go
@@ -61,7 +61,11 @@
 	askPart    = 0.8      // of the time after which silence counts as told
 	askRelay   = 1000.0   // between two relays' asking of the list anew
 	askSpread  = 20.0     // between two relays' first asking
-	fitPart    = 0.75     // of the servers, whose figures make a relay fit to take over
+	against    = 0.8      // of the doubt left, that a link shed or a try without an answer adds
+	inFavour   = 0.5      // of the doubt, that a link which stood its time takes back
+	witnessFor = 20000.0  // over which doubt fades to a third
+	fadeEvery  = 100.0
+	fitPart    = 0.75 // of the servers, whose figures make a relay fit to take over
 )
 
 // buckets is the paper's formula. A load that is not known comes in as the mean.
@@ -90,6 +94,25 @@
 // good wants two failures before a server is out: one lost probe or one stall is not a death.
 func (h *Health) good(s int) bool { return h.failed[s] < 2 }
 
+// witness takes what a link went through at a server: a part of what was left to say against it, or of what was
+// said is taken back (negative).
+func (h *Health) witness(s int, now, part float64) {
+	h.fade(now)
+	a := h.against[s]
+	h.against[s] += max(part, 0)*(1-a) + min(part, 0)*a
+	h.usual += (h.against[s] - a) / float64(len(h.against))
+}
+
+// doubtful is how far a server's word is to be doubted, beyond what is usual: where set-ups go badly everywhere, as
+// with a slow store, they say nothing of one server. It fades, so that a server that gets no links by it is tried
+// again by ever better chances.
+func (h *Health) doubtful(s int, now float64) float64 {
+	if h.usual == 0 {
+		return 0
+	}
+	return max(h.against[s]-h.usual, 0) * math.Exp((h.fadedAt-now)/witnessFor)
+}
+
 func (w *Warmup) part(s int, now float64) float64 {
 	if w.length <= 0 {
 		return 1
@@ -259,7 +282,7 @@
 			// Against links on servers that leave, held against the others' loads: they make all look larger.
 			ready, own, fresh = ready+1, own+b.linkLoads[s], fresh+b.probing.fresh[s]
 			if !math.IsNaN(b.probing.load[s]) {
-				sum, known = sum+b.load(s, now), known+1
+				sum, known = sum+b.load(s, now)-b.health.doubtful(s, now), known+1
 			}
 		}
 	}
@@ -334,7 +357,9 @@
 	}
 }
 
-// load is the server's figure with what was put there since: against a wave that all follows one late figure.
+// load is the server's figure with what was put there since: against a wave that all follows one late figure. What
+// links went through there comes on top, up to a full load: against reports of little from a server that sheds
+// them or does not answer, whose turns would be the most. A report is believed as far as links bear it out.
 func (b *Balancer) load(s int, now float64) float64 {
 	l := b.probing.load[s]
 	if math.IsNaN(l) {
@@ -343,7 +368,7 @@
 	others := b.shares.relays - 1
 	fresh := b.probing.fresh[s] * (1 + othersPart*others/(1+others/herd))
 	// A cold server's figure is of what it can do now, so a link weighs more there.
-	return l + fresh/cmp.Or(b.capacity*b.warmup.part(s, now), math.Inf(1))
+	return l + fresh/cmp.Or(b.capacity*b.warmup.part(s, now), math.Inf(1)) + b.health.doubtful(s, now)
 }
 
 // Place says where to send this link, or not yet, or never.
@@ -491,10 +516,16 @@
 	if l.open && l.measured && l.Key != 0 && outcome != Satisfied {
 		b.shares.ended.keep(now, keyMemory, l.Key, l.load)
 	}
+	shed := outcome == Broken && now < l.sent+shedSoon
+	if shed || outcome == TimedOut {
+		b.health.asked[s] = true
+	} else if l.open && outcome != Broken && now >= l.sent+shedSoon {
+		b.health.witness(s, now, -inFavour)
+	}
 	switch {
 	case outcome == Broken && l.open && b.health.failed[s] > 0:
 		b.health.lost[s] = true
-	case outcome == Broken && l.open && now < l.sent+shedSoon:
+	case shed && l.open:
 		// Against links that go round: shed by one full server they all come to the next, at every relay.
 		b.effects.narrow(now, shedPart)
 	case outcome == Unreachable:
@@ -571,6 +602,12 @@
 	}
 	p := b.probing
 	if f := p.figure(report, b.weights[s]); !math.IsNaN(f) {
+		// Against blaming a server for links that many relays sent it on figures just gone old: it says so now.
+		if h := &b.health; h.asked[s] {
+			if h.asked[s] = false; p.absolute && f < room {
+				h.witness(s, now, against)
+			}
+		}
 		// Up at once, down by parts: a link stays for life, so the busy moments of what comes and goes count.
 		if f < p.load[s] {
 			f += (p.load[s] - f) * math.Pow(1-easing, (now-p.heardAt[s])/probeEvery)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -663,3 +663,85 @@
 		now += 20
 	}
 }
+
+// A server's word is believed as far as links bear it out: one that reports little and sheds, errs or does not answer
+// gets ever fewer, and all again once links stand there or time has passed; where all do so, no one is doubted.
+func TestServersWordAgainstItsLinks(t *testing.T) {
+	share := func(b *Balancer, now float64, end func(l *Link, at float64)) (part float64) {
+		const n = 100
+		for i := range n {
+			at := now + float64(i)*20
+			for s := range b.ids {
+				b.Reported(at, b.ids[s], []float64{0, []float64{0.1, 0.5, 0.5, 0.5}[s]})
+			}
+			l := arrive(at)
+			if a := b.Place(at, l); a.Verdict != Send {
+				continue
+			} else if a.Backend == 1 {
+				part += 1.0 / n
+			}
+			end(l, at)
+		}
+		return part
+	}
+	well := func(b *Balancer) func(l *Link, at float64) {
+		return func(l *Link, at float64) {
+			b.Accepted(at+10, l)
+			b.After(at+10, l, Satisfied, true)
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		end   Outcome
+		stood bool
+	}{{"sheds", Broken, true}, {"does not answer", TimedOut, false}, {"breaks", Broken, false}} {
+		b := fleet{Loads: []float64{0.1, 0.5, 0.5, 0.5}, Tries: 1, Seed: 2}.build(t)
+		before := share(b, start, well(b))
+		assert.Greater(t, before, 0.3, "%s: while it is believed", c.name)
+		during := share(b, start+3000, func(l *Link, at float64) {
+			if l.server != 0 {
+				well(b)(l, at)
+				return
+			}
+			b.effects.width = widest // the store is not what is looked at
+			if c.stood {
+				b.Accepted(at+10, l)
+			}
+			b.After(at+20, l, c.end, true)
+		})
+		assert.Less(t, during, before/3, c.name)
+		assert.Greater(t, share(b, start+60000, well(b)), before*0.7, "%s: later it is tried again, and bears out its word", c.name)
+	}
+	b := fleet{Loads: []float64{0.1, 0.5, 0.5, 0.5}, Tries: 1, Seed: 2}.build(t)
+	b.health.witness(0, start, against)
+	l := &Link{Limit: start + 2000}
+	b.Resumed(start, l, 1)
+	l.sent = start
+	// One that sheds links and then says that it is full tells the truth, late; errors may be the client's.
+	for _, c := range []struct {
+		name   string
+		end    Outcome
+		report float64
+		want   bool
+	}{{"says that it has room", Broken, 0.2, true}, {"says that it is full", Broken, 0.9, false},
+		{"errs", Errored, 0.2, false}} {
+		b := fleet{Loads: []float64{0.1, 0.5, 0.5}}.build(t)
+		l := arrive(start)
+		b.Resumed(start, l, 1)
+		l.sent = start
+		b.After(start+100, l, c.end, true)
+		assert.Zero(t, b.health.doubtful(0, start+150), "%s: not before its next report", c.name)
+		b.Reported(start+200, 1, []float64{0, c.report})
+		assert.Equal(t, c.want, b.health.doubtful(0, start+200) > 0, c.name)
+	}
+	doubt := b.health.doubtful(0, start+shedSoon)
+	b.After(start+shedSoon, l, Satisfied, true)
+	assert.Less(t, b.health.doubtful(0, start+shedSoon), 0.6*doubt, "a link that stood speaks for it")
+	for s := range b.ids {
+		b.health.witness(s, start+shedSoon, against)
+		b.health.witness(s, start+shedSoon, against)
+	}
+	for s := range b.ids {
+		assert.Less(t, b.health.doubtful(s, start+shedSoon), 0.05, "all alike")
+	}
+}
--- a/logic/record.go
+++ b/logic/record.go
@@ -33,6 +33,7 @@
 	Load, HeardAt, AskedAt, WarmFrom float64
 	Failed                           int
 	Lost                             bool
+	Against                          float64
 	Placed                           []PlacedRecord // of late
 }
 
@@ -58,6 +59,7 @@
 
 // Record gives what was learnt until now.
 func (b *Balancer) Record(now float64) Record {
+	b.health.fade(now)
 	e, s, p := b.effects, b.shares, b.probing
 	r := Record{At: now, Loads: append([]float64{}, s.loads...), Weighed: append([]float64{}, s.weighed...),
 		LoadMean: s.loadMean, Known: s.known, Guessed: b.guessed, Listed: b.listed, Stood: e.stood, Over: e.over,
@@ -71,7 +73,7 @@
 		}
 		one := ServerRecord{ID: id, Started: b.started[i], Load: none(p.load[i]), HeardAt: none(p.heardAt[i]),
 			AskedAt: none(p.askedAt[i]), WarmFrom: none(b.warmup.since[i]), Failed: b.health.failed[i],
-			Lost: b.health.lost[i]}
+			Lost: b.health.lost[i], Against: b.health.against[i]}
 		for _, x := range p.since[i] {
 			one.Placed = append(one.Placed, PlacedRecord{x.at, x.load})
 		}
@@ -108,8 +110,8 @@
 		return errors.New("record: a figure is no number or negative")
 	}
 	for _, s := range r.Servers {
-		if bad(s.Started, some(s.Load, 0), some(s.HeardAt, 0), some(s.AskedAt, 0), some(s.WarmFrom, 0)) ||
-			s.Failed < 0 {
+		if bad(s.Started, some(s.Load, 0), some(s.HeardAt, 0), some(s.AskedAt, 0), some(s.WarmFrom, 0), s.Against) ||
+			s.Failed < 0 || s.Against > 1 {
 			return errors.New("record: a server's figure is no number or negative")
 		}
 		for _, x := range s.Placed {
@@ -132,6 +134,7 @@
 	if err := r.check(len(b.effects.categories)); err != nil {
 		return err
 	}
+	b.health.fade(now)
 	e, s, p := b.effects, b.shares, b.probing
 	copy(s.loads, r.Loads)
 	copy(s.weighed, r.Weighed)
@@ -155,6 +158,8 @@
 		p.load[i], p.heardAt[i] = some(one.Load, math.NaN()), some(one.HeardAt, math.Inf(-1))
 		p.askedAt[i] = some(one.AskedAt, math.Inf(-1))
 		b.health.failed[i], b.health.lost[i] = one.Failed, one.Lost
+		b.health.usual += (one.Against - b.health.against[i]) / float64(len(b.ids))
+		b.health.against[i] = one.Against
 		if one.WarmFrom >= 0 {
 			b.chill(i, one.WarmFrom)
 		}
--- a/logic/types.go
+++ b/logic/types.go
@@ -200,6 +200,12 @@
 type Health struct {
 	failed []int  // failures in a row
 	lost   []bool // one of our links on it broke while it was silent
+
+	// How far what links went through there speaks against the server's word, from 0 to 1, the mean of all, and
+	// until when both have faded.
+	asked          []bool // links went badly there: its next report tells whether it says so
+	against        []float64
+	usual, fadedAt float64
 }
 
 // Warmup is the budget of what a server just started is sent.
@@ -389,6 +395,8 @@
 		b.cells, b.started, b.mentioned = append(b.cells, 0), append(b.started, 0), append(b.mentioned, false)
 		h, w, p := &b.health, b.warmup, b.probing
 		h.failed, h.lost = append(h.failed, 0), append(h.lost, false)
+		h.usual *= float64(s) / float64(s+1)
+		h.against, h.asked = append(h.against, 0), append(h.asked, false)
 		w.since = append(w.since, never)
 		p.load, p.sentAt, p.askedAt = append(p.load, nan), append(p.sentAt, nan), append(p.askedAt, never)
 		p.since, p.fresh = append(p.since, nil), append(p.fresh, 0)
@@ -398,7 +406,9 @@
 	}
 	delete(b.index, b.ids[s])
 	b.index[id], b.ids[s] = s, id
-	b.health.failed[s], b.health.lost[s] = 0, false
+	b.health.usual -= b.health.against[s] / float64(len(b.ids))
+	b.health.failed[s], b.health.lost[s], b.health.against[s] = 0, false, 0
+	b.health.asked[s] = false
 	b.warmup.since[s], b.started[s] = never, 0
 	b.probing.sentAt[s], b.probing.askedAt[s], b.probing.lots[s] = nan, never, b.turns.chance.Float64()
 	b.forget(s)
@@ -434,6 +444,18 @@
 	}
 }
 
+// fade takes off what time has taken off all that was said against servers; not at each call, as all fade alike.
+func (h *Health) fade(now float64) {
+	if now < h.fadedAt+fadeEvery {
+		return
+	}
+	f := math.Exp((h.fadedAt - now) / witnessFor)
+	for s := range h.against {
+		h.against[s] *= f
+	}
+	h.usual, h.fadedAt = h.usual*f, now
+}
+
 // forget drops the server's figures.
 func (b *Balancer) forget(s int) {
 	p := b.probing
