--- a/cmd/valeshift/command_test.go
+++ b/cmd/valeshift/command_test.go
@@ -22,7 +22,8 @@
 		{"good", good, "[log]\nlevel = \"warn\"\n", "ok: n0 listens on 127.0.0.1:0, discovery " + l.address, 0},
 		{"platform field", strings.Replace(good, `"listen":"127.0.0.1:0"`, `"listen":"here"`, 1), "",
 			`check: listen: address:port expected, got "here"`, 1},
-		{"operators' address", strings.Replace(good, `"ops":""`, `"ops":"x"`, 1), "", "check: ops: address:port or", 1},
+		{"operators' address", strings.Replace(good, `"ops":""`, `"ops":"x"`, 1), "",
+			"check: ops: address:port or", 1},
 		{"setting", strings.Replace(good, `"most-setup-tries":3`, `"most-setup-tries":-3`, 1), "",
 			"check: settings: limits.most-setup-tries: a number expected", 1},
 		{"too few sockets", l.config(12), "", "check: limits.sockets: 38 or more expected", 1},
@@ -33,7 +34,8 @@
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "c.json"), []byte(c.config), 0o600))
 		require.NoError(t, os.WriteFile(filepath.Join(dir, "o.toml"), []byte(c.operator), 0o600))
 		cmd := exec.Command(program, "check", "--operator", filepath.Join(dir, "o.toml"))
-		cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(dir, "c.json"), "RELAY_LISTEN=", "RELAY_NAME=", "RELAY_OPS=",
+		cmd.Env = append(os.Environ(), "RELAY_CONFIG="+filepath.Join(dir, "c.json"), "RELAY_LISTEN=",
+			"RELAY_NAME=", "RELAY_OPS=",
 			"RELAY_DISCOVERY=")
 		said, _ := cmd.CombinedOutput()
 		assert.Contains(t, string(said), c.want, c.name)
--- a/cmd/valeshift/main_test.go
+++ b/cmd/valeshift/main_test.go
@@ -403,7 +403,8 @@
 	assert.Contains(t, call("POST", "/_lameduck/on"), "200")
 	assert.Contains(t, call("GET", "/_ready"), "503")
 	assert.Equal(t, []string{"MOVE", "end"}, []string{client.hear(), client.hear()})
-	assert.Contains(t, call("GET", "/_vars"), "relay.attempts:1|c\nrelay.in_flight:0|g\nrelay.backends_known:1|g\n")
+	assert.Contains(t, call("GET", "/_vars"),
+		"relay.attempts:1|c\nrelay.in_flight:0|g\nrelay.backends_known:1|g\n")
 	assert.Contains(t, call("POST", "/_lameduck/off"), "200")
 	assert.Contains(t, call("GET", "/_ready"), "200")
 	r.stands(b)
--- a/cmd/valeshift/upgrade_test.go
+++ b/cmd/valeshift/upgrade_test.go
@@ -64,8 +64,8 @@
 	}, soon, 10*time.Millisecond)
 }
 
-// One process after the other takes a steady stream of clients over: none of them is refused, left unread or cut
-// off without a word, and no link has two tries out.
+// One process after the other takes a steady stream of clients over: none of them is refused, left unread or
+// cut off without a word, and no link has two tries out.
 func TestProcessReplaced(t *testing.T) {
 	b1, b2 := newBackend(t, "b1"), newBackend(t, "b2")
 	g := newGround(t, b1, b2)
@@ -138,8 +138,8 @@
 	t.Logf("%d clients served, %d of them moved", served.Load(), moved.Load())
 }
 
-// client opens a link, says some lines and leaves; those that stay do until they are moved or it is over. It tells
-// what it saw.
+// client opens a link, says some lines and leaves; those that stay do until they are moved or it is over. It
+// tells what it saw.
 func client(address, id string, stop <-chan struct{}, stays bool) string {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
@@ -198,7 +198,8 @@
 // What can't be used is named, and nothing starts; what the elder left and can't be read is passed over.
 func TestSocketThatIsNone(t *testing.T) {
 	l := newList(t)
-	for value, want := range map[string]string{"x": "RELAY_SOCKET_FD: a descriptor from 3 on", "1": "RELAY_SOCKET_FD: a d",
+	for value, want := range map[string]string{"x": "RELAY_SOCKET_FD: a descriptor from 3 on",
+		"1":  "RELAY_SOCKET_FD: a d",
 		"77": "RELAY_SOCKET_FD: a listening socket", "3": "RELAY_SOCKET_FD: a listening socket"} {
 		f, err := os.Open(os.DevNull)
 		require.NoError(t, err)
@@ -225,8 +226,8 @@
 	assert.Zero(t, first.exit())
 }
 
-// A standing link goes on at the younger process, half a line and all, and the elder's end is nothing to it; where
-// the younger can't be reached, it is moved.
+// A standing link goes on at the younger process, half a line and all, and the elder's end is nothing to it;
+// where the younger can't be reached, it is moved.
 func TestStandingLinkHandedOver(t *testing.T) {
 	b := newBackend(t, "b1")
 	g := newGround(t, b)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,8 +1,8 @@
 // Package handover is how the processes of one relay find each other where the platform holds the clients'
-// socket: by files in a directory that they share. Each takes the next number and a file of that number, which it
-// keeps locked while it lives; a lock that can be had means a dead owner, whatever the file says. It carries
-// what one leaves to another as bytes, whole or not at all. It must never know what they mean, or decide who
-// serves.
+// socket: by files in a directory that they share. Each takes the next number and a file of that number,
+// which it keeps locked while it lives; a lock that can be had means a dead owner, whatever the file says. It
+// carries what one leaves to another as bytes, whole or not at all. It must never know what they mean, or
+// decide who serves.
 package handover
 
 import (
@@ -199,8 +199,8 @@
 	return nil
 }
 
-// Listener is the listening socket that this process inherited as that descriptor. It is never shut down, which
-// would end it for the other process too; this process's second number for it is given back.
+// Listener is the listening socket that this process inherited as that descriptor. It is never shut down,
+// which would end it for the other process too; this process's second number for it is given back.
 func Listener(fd int) (*net.TCPListener, error) {
 	if err := Check(fd); err != nil {
 		return nil, err
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// Two connections go from one process to the other with a record, and stay where they are if that one won't have
-// them.
+// Two connections go from one process to the other with a record, and stay where they are if that one won't
+// have them.
 func TestPass(t *testing.T) {
 	dir := t.TempDir()
 	a, b := sit(t, dir), sit(t, dir)
--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -23,8 +23,8 @@
 // ErrRefused says that the other process left the connections to this one.
 var ErrRefused = errors.New("pass: refused")
 
-// Takes has the packets that an elder process passes given to take, which tells whether it has them from then on;
-// if not, the descriptors are closed here and stay the elder's alone. It ends with the process.
+// Takes has the packets that an elder process passes given to take, which tells whether it has them from then
+// on; if not, the descriptors are closed here and stay the elder's alone. It ends with the process.
 func (s *Seat) Takes(take func(record []byte, files [Pair]*os.File) bool) error {
 	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Net: "unixpacket", Name: s.path(s.number, way)})
 	if err != nil {
@@ -98,8 +98,8 @@
 	return &Way{c}, nil
 }
 
-// Pass passes two connections on. ErrRefused, or an error from before they went out, leaves them here; after any
-// other they may be the other process's.
+// Pass passes two connections on. ErrRefused, or an error from before they went out, leaves them here; after
+// any other they may be the other process's.
 func (w *Way) Pass(record []byte, fds [Pair]int) (gone bool, err error) {
 	if len(record) > packet {
 		return false, fmt.Errorf("pass: %d bytes, %d at the most", len(record), packet)
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -97,8 +97,8 @@
 	Turned   int // clients that a relay did not let in while it was replaced
 }
 
-// New takes how much later than it was said a thing may be seen, and the multiple of its present capacity that
-// a cold server may be sent within the window.
+// New takes how much later than it was said a thing may be seen, and the multiple of its present capacity
+// that a cold server may be sent within the window.
 func New(slack, multiple, window float64) *Auditor {
 	return &Auditor{slack: slack, multiple: multiple, window: window, links: map[string]*link{},
 		lives: map[int]int{}, died: map[int]float64{}, told: map[int]map[string]told{}, dark: map[string]bool{}, lit: map[string]float64{},
@@ -215,8 +215,8 @@
 	l.tries = append(l.tries, try{server: server, at: now, dark: a.dark[server]})
 }
 
-// push counts what a cold server is sent by relays that know that it is cold. A link is whole, so the heaviest
-// one of a window is not too much by itself.
+// push counts what a cold server is sent by relays that know that it is cold. A link is whole, so the
+// heaviest one of a window is not too much by itself.
 func (a *Auditor) push(now float64, id, server string, capacity, load float64) {
 	kept, sum, heaviest := a.pushes[server][:0], load, load
 	for _, p := range a.pushes[server] {
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -94,8 +94,8 @@
 share = 0.5
 `
 
-// Relay processes on loopback keep the rules through a drain, a kill, a reload and a planned stop; and while they
-// are replaced, without a move, or emptied and taken back.
+// Relay processes on loopback keep the rules through a drain, a kill, a reload and a planned stop; and while
+// they are replaced, without a move, or emptied and taken back.
 func TestKillAndDrain(t *testing.T) {
 	for _, c := range []struct {
 		text  string
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -322,8 +322,8 @@
 	return nil
 }
 
-// empty has operators empty a relay: the front sees it say no and deals nobody there, and some seconds on none of its
-// clients is left.
+// empty has operators empty a relay: the front sees it say no and deals nobody there, and some seconds on
+// none of its clients is left.
 func (w *World) empty(i int) {
 	life := w.relays[i].life
 	w.relays[i].drained = true
--- a/internal/lab/sim/relay.go
+++ b/internal/lab/sim/relay.go
@@ -219,7 +219,8 @@
 
 func (p *process) acceptWaiting() {
 	for _, conn := range sorted(p.ends) {
-		if s := p.ends[conn]; s != nil && !s.taken && s.other != nil && p.of(conn).back[conn] == 0 && !p.closed && !p.over {
+		if s := p.ends[conn]; s != nil && !s.taken && s.other != nil && p.of(conn).back[conn] == 0 &&
+			!p.closed && !p.over {
 			s.accept()
 		}
 	}
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -15,8 +15,8 @@
 // any other line. A client that was gone first counts nowhere, and one without a category neither.
 type answers struct{ served, refused, failed uint64 }
 
-// figures appends what is published, in the order of names: each category's answers, the attempts written, links
-// from their heads to their ends, the list's backends and those of them that the module avoids.
+// figures appends what is published, in the order of names: each category's answers, the attempts written,
+// links from their heads to their ends, the list's backends and those of them that the module avoids.
 func (r *Reducer) figures(to []uint64) []uint64 {
 	for _, a := range r.answers {
 		to = append(to, a.served, a.refused, a.failed)
@@ -52,8 +52,8 @@
 	return &board{names: names, values: make([]atomic.Uint64, len(names))}
 }
 
-// publish is called under the relay's lock. Against a cost for each line of a busy relay: what stays as it was
-// is not written again.
+// publish is called under the relay's lock. Against a cost for each line of a busy relay: what stays as it
+// was is not written again.
 func (b *board) publish(r *Reducer) {
 	before := len(b.last)
 	b.last = r.figures(b.last)
--- a/internal/relay/figures_test.go
+++ b/internal/relay/figures_test.go
@@ -119,7 +119,8 @@
 
 	s = open(t, two, 0, "b1=active")
 	s.stands()
-	s.play("a stop goes before both", step{1000, "lame on", ""}, step{1500, "stop", ""}, step{1600, "lame off", ""},
+	s.play("a stop goes before both", step{1000, "lame on", ""}, step{1500, "stop", ""}, step{1600,
+		"lame off", ""},
 		step{1601, "lame on", ""})
 	assert.True(t, s.stopping)
 	assert.False(t, s.serving())
--- a/internal/relay/passing.go
+++ b/internal/relay/passing.go
@@ -1,8 +1,8 @@
 package relay
 
-// This file is where the sockets of a link that stands go from the elder process to the younger. It carries out
-// what the reducer asks for and tells how it went; it must never decide which link goes, nor know what its bytes
-// mean.
+// This file is where the sockets of a link that stands go from the elder process to the younger. It carries
+// out what the reducer asks for and tells how it went; it must never decide which link goes, nor know what
+// its bytes mean.
 
 import (
 	"encoding/json"
@@ -28,8 +28,9 @@
 	epoll   int // the poller's own descriptor, once found
 }
 
-// pass passes one link, and tells the reducer whether it is gone. Both sockets' reads are locked from before the
-// reducer gives the link up until that is known: against bytes read here that belong to the other process.
+// pass passes one link, and tells the reducer whether it is gone. Both sockets' reads are locked from before
+// the reducer gives the link up until that is known: against bytes read here that belong to the other
+// process.
 func (s *Sockets) pass(client, server uint64) {
 	p := &s.passing
 	defer p.pending.Done()
@@ -91,8 +92,9 @@
 	return !p.closed
 }
 
-// part has the reducer give the link up, and takes its sockets out of the poller, with descriptors of their own
-// to be sent. All under the relay's lock: no descriptor's number can come to another connection meanwhile.
+// part has the reducer give the link up, and takes its sockets out of the poller, with descriptors of their
+// own to be sent. All under the relay's lock: no descriptor's number can come to another connection
+// meanwhile.
 func (s *Sockets) part(client uint64, c, b *socket) (*Passed, [handover.Pair]int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -146,8 +148,9 @@
 	}
 }
 
-// unpoll takes a descriptor out of the poller's set. nbio 1.6.8 leaves that to the kernel, which does so only once
-// no process holds the connection; and it tells nobody its set, which is found as the one that has the descriptor.
+// unpoll takes a descriptor out of the poller's set. nbio 1.6.8 leaves that to the kernel, which does so only
+// once no process holds the connection; and it tells nobody its set, which is found as the one that has the
+// descriptor.
 func (s *Sockets) unpoll(fd int) error {
 	p := &s.passing
 	if p.epoll > 0 {
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -79,7 +79,7 @@
 	Free     // and again
 	Note     // a line for the log
 	Quit     // all is done
-	Pass     // the standing link of the client Conn and the backend's connection Peer to the younger process: Part
+	Pass     // the standing link of the client Conn, and Peer, to the younger process: Part
 	Parted   // it is given up, as Passed, until Given
 	Adopted  // a passed link is here, with the backend's connection as Peer
 	Ready    // the relay is fit to serve from now on
@@ -370,9 +370,9 @@
 // mostMute is how many clients without a head may be there: what links can never take.
 func (r *Reducer) mostMute() int { return max(r.most/mutePart, fewHeads) }
 
-// stalest is the client without a head that is let go first: those that have begun none before those that have, and
-// of each whoever has brought nothing for longest. Against a crowd that connects and idles, or stops half way,
-// pushing out one that writes its head slowly.
+// stalest is the client without a head that is let go first: those that have begun none before those that
+// have, and of each whoever has brought nothing for longest. Against a crowd that connects and idles, or
+// stops half way, pushing out one that writes its head slowly.
 func (r *Reducer) stalest() (pick *end) {
 	for _, c := range r.mute {
 		switch {
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -121,7 +121,8 @@
 	case "adopt":
 		e = Event{Kind: Adopt, Conn: s.conn(word[1]), Passed: s.parted}
 	case "beside":
-		e = Event{Kind: Beside, Elder: word[1] == "elder", Younger: word[1] == "younger", Leave: word[1] == "younger"}
+		e = Event{Kind: Beside, Elder: word[1] == "elder", Younger: word[1] == "younger",
+			Leave: word[1] == "younger"}
 	case "stop":
 		e = Event{Kind: Stop, Yield: len(word) > 1}
 	default:
@@ -585,7 +586,8 @@
 func TestBadConfiguration(t *testing.T) {
 	good := `{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"ff","settings":` + told + `}`
 	for _, c := range []struct{ old, new, want string }{
-		{`"name":"n",`, ``, "name"}, {`"name":"n",`, `"name":"n","ops":"here",`, "ops: address:port or nothing"}, {`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
+		{`"name":"n",`, ``, "name"}, {`"name":"n",`, `"name":"n","ops":"here",`,
+			"ops: address:port or nothing"}, {`"listen":"127.0.0.1:0"`, `"listen":"here"`, "listen"},
 		{`"127.0.0.1:1"`, `"127.0.0.1"`, "discovery"}, {`"ff"`, `"xyz"`, "seed"},
 		{`"seed"`, `"limits":{"sockets":-1},"seed"`, "limits.sockets"},
 		{`"seed"`, `"limits":{"sockets":37},"seed"`, "limits.sockets: 38"},
@@ -678,5 +680,6 @@
 		s.at(float64(n), fmt.Sprintf("came %d OPEN a", n))
 	}
 	s.at(60, "came 1 1")
-	assert.Equal(t, "write 2 BUSY 900|; end 2", s.at(90, "open 6"), "of those that began, whoever stalls longest")
+	assert.Equal(t, "write 2 BUSY 900|; end 2", s.at(90, "open 6"),
+		"of those that began, whoever stalls longest")
 }
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -151,8 +151,9 @@
 	}
 }
 
-// sit has the clients' socket: the platform's, or one of its own. Where the platform holds it, another process of
-// this relay may serve already; what it leaves is read here, and the start goes on without it where it can't be.
+// sit has the clients' socket: the platform's, or one of its own. Where the platform holds it, another
+// process of this relay may serve already; what it leaves is read here, and the start goes on without it
+// where it can't be.
 func (s *Sockets) sit(t *Told) error {
 	if t.SocketFD == 0 {
 		l, err := net.Listen("tcp", t.Listen)
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -213,7 +213,8 @@
 	r.arm(&look, r.now+lastComers) // a look at whether all is done
 }
 
-// lameDuck empties the relay as a stop does, but for its end, or takes it back to work. A stop goes before it.
+// lameDuck empties the relay as a stop does, but for its end, or takes it back to work. A stop goes before
+// it.
 func (r *Reducer) lameDuck(on bool) {
 	if r.stopping || r.lame == on {
 		return
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -1,8 +1,8 @@
 package relay
 
-// This file is the part of the reducer for two processes of one relay on a socket that the platform holds: what
-// the elder leaves to the younger, and how both keep to the limits of one. It must never decide which of them
-// serves, as that is the platform's, or how fast links go, as that is the module's.
+// This file is the part of the reducer for two processes of one relay on a socket that the platform holds:
+// what the elder leaves to the younger, and how both keep to the limits of one. It must never decide which of
+// them serves, as that is the platform's, or how fast links go, as that is the module's.
 
 import (
 	"encoding/json"
@@ -19,8 +19,8 @@
 	besideFiles     = 18      // descriptors of a process that has no connection: 13 idle, the watch, the way
 )
 
-// Handover is what the elder process leaves to the younger. Fields that are not known are passed over, so that one
-// of the same version may gain some; a change of their meaning is another version.
+// Handover is what the elder process leaves to the younger. Fields that are not known are passed over, so
+// that one of the same version may gain some; a change of their meaning is another version.
 type Handover struct {
 	Version int
 	At      float64
@@ -68,8 +68,8 @@
 	return h
 }
 
-// begins takes the list told at the start, or the elder's where that is newer, and what the elder has learnt. Against
-// two lists in a row: the second would be discovery's to the module, which then asks for none.
+// begins takes the list told at the start, or the elder's where that is newer, and what the elder has learnt.
+// Against two lists in a row: the second would be discovery's to the module, which then asks for none.
 func (r *Reducer) begins(known *News) {
 	if r.left != nil && r.left.List.Index >= known.Index {
 		known = r.left.List
@@ -95,7 +95,8 @@
 	if err := r.table.Balancer.Inherit(r.now, &record); err != nil {
 		return err
 	}
-	r.note("took over what the elder process knew", "age ms", math.Round(r.now-h.At), "backends", len(record.Servers))
+	r.note("took over what the elder process knew", "age ms", math.Round(r.now-h.At), "backends",
+		len(record.Servers))
 	return nil
 }
 
@@ -121,9 +122,9 @@
 // besides is what another process needs for itself.
 func (r *Reducer) besides() int { return besideFiles + r.reserve - spareFiles }
 
-// share holds this process to its part of the descriptors and links while there is another: to what it has, or
-// half of what there is where that is more; the younger to the rest. What is kept for dials and the like is there
-// once for both.
+// share holds this process to its part of the descriptors and links while there is another: to what it has,
+// or half of what there is where that is more; the younger to the rest. What is kept for dials and the like
+// is there once for both.
 func (r *Reducer) share() {
 	files, links := r.files, r.allHeld
 	half := (files - r.besides()) / 2
@@ -154,8 +155,8 @@
 	}
 }
 
-// Passed is a link that stands, on its way from one process of the relay to another. The two may be of different
-// versions of the program, so that all is by name and the younger refuses what it doesn't know.
+// Passed is a link that stands, on its way from one process of the relay to another. The two may be of
+// different versions of the program, so that all is by name and the younger refuses what it doesn't know.
 type Passed struct {
 	Version             int
 	ID, Category, Party string
@@ -217,13 +218,14 @@
 	}
 }
 
-// adopt takes a link that stands from the elder process, with its part of the limits. One that is not known to
-// this process as it is to the elder is refused.
+// adopt takes a link that stands from the elder process, with its part of the limits. One that is not known
+// to this process as it is to the elder is refused.
 func (r *Reducer) adopt(conn uint64, p *Passed) {
 	category, known := r.categories[p.Category]
 	party, named := r.parties[p.Party]
 	b := r.backends[p.Backend]
-	if p.Version != handoverVersion || !known || b == nil || !(p.Load >= 0 && p.Load < math.MaxFloat64) || p.ID == "" ||
+	if p.Version != handoverVersion || !known || b == nil || !(p.Load >= 0 && p.Load < math.MaxFloat64) ||
+		p.ID == "" ||
 		r.ids[p.ID] != nil || (p.Party != "" && !named) || r.stopping {
 		r.note("refused a link of the elder process", "version", p.Version, "category", p.Category,
 			"backend", p.Backend)
--- a/internal/relay/succession_test.go
+++ b/internal/relay/succession_test.go
@@ -21,13 +21,15 @@
 		left, err = ReadHandover(text, left.At+50)
 		require.NoError(t, err)
 	}
-	return begin(t, with(`"probes": false`, `"probes": true`), &Told{Seed: 6, Sockets: sockets, Elder: true, Left: left,
+	return begin(t, with(`"probes": false`, `"probes": true`), &Told{Seed: 6, Sockets: sockets,
+		Elder: true, Left: left,
 		Discovery: "10.1.0.1:85", Known: &News{Whole: true, Entries: entries([]string{"b9=active"})}})
 }
 
 func TestYoungerProcess(t *testing.T) {
 	old := open(t, with(`"probes": false`, `"probes": true`), 0, "b1=active")
-	old.play("the elder", step{10, "news 1 4 whole b1=active b2=leaving", ""}, step{299, "tick", "dial s1 10.0.0.1:9000"},
+	old.play("the elder", step{10, "news 1 4 whole b1=active b2=leaving", ""}, step{299, "tick",
+		"dial s1 10.0.0.1:9000"},
 		step{300, "up s1", "write s1 STATS|"}, step{301, "came s1 PONG x0=0.5|", ""},
 		step{400, "beside younger", "bequeath"}, step{401, "beside younger", "bequeath"})
 	s := beside(t, old.left, 0)
@@ -84,12 +86,14 @@
 	}
 }
 
-// To a younger process that is ready all clients are left at once; those taken before are served to their end.
+// To a younger process that is ready all clients are left at once; those taken before are served to their
+// end.
 func TestElderProcess(t *testing.T) {
 	s := open(t, nil, 0, "b1=active")
 	s.stands()
 	s.play("stops for the younger", step{200, "beside younger", "bequeath"}, step{300, "open 2", ""},
-		step{1000, "stop yield", "pass 1; hold"}, step{1000, "part 1", "parted 1"}, step{1001, "open 3", ""}, // it was being accepted
+		step{1000, "stop yield", "pass 1; hold"}, step{1000, "part 1", "parted 1"}, step{1001, "open 3",
+			""}, // it was being accepted
 		step{1002, "came 3 PING|", "write 3 PONG|"}, // for the relay as a whole
 		step{1003, "came 2 OPEN b 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
 		step{1004, "up s2", "write s2 OPEN b 1f c=feed,d=1989|"},
@@ -112,7 +116,8 @@
 	s = open(t, nil, 0, "b1=active")
 	s.stands()
 	s.play("or ended, as it has broken meanwhile", step{200, "beside younger", "bequeath"},
-		step{1000, "stop yield", "pass 1; hold"}, step{1001, "part 1", "parted 1"}, step{1002, "reset s1", "end s1"},
+		step{1000, "stop yield", "pass 1; hold"}, step{1001, "part 1", "parted 1"}, step{1002, "reset s1",
+			"end s1"},
 		step{1003, "given 1 not", "break 1; quit"})
 	s = open(t, nil, 0, "b1=active")
 	s.stands()
@@ -121,7 +126,8 @@
 
 	s = open(t, nil, 0, "b1=active")
 	s.stands()
-	s.play("the younger dies first: all as before", step{200, "beside younger", "bequeath"}, step{300, "beside none", ""},
+	s.play("the younger dies first: all as before", step{200, "beside younger", "bequeath"}, step{300,
+		"beside none", ""},
 		step{1000, "stop", ""}, step{1400, "open 2", ""}, step{1401, "came 2 OPEN b 1f c=feed,d=2000|",
 			"dial s2 10.0.0.1:9000"})
 }
@@ -134,7 +140,8 @@
 		old.at(1, "news 1 4 whole b1=active")
 		for i := 1; i <= held; i++ {
 			old.at(2, "open "+string(rune('0'+i/10))+string(rune('0'+i%10)))
-			old.at(2, "came "+string(rune('0'+i/10))+string(rune('0'+i%10))+" OPEN i"+string(rune('0'+i))+" 1f c=feed,d=2000|")
+			old.at(2,
+				"came "+string(rune('0'+i/10))+string(rune('0'+i%10))+" OPEN i"+string(rune('0'+i))+" 1f c=feed,d=2000|")
 		}
 		whole, files := old.most, len(old.ends)
 		old.at(3, "beside younger")
@@ -154,7 +161,8 @@
 	assert.Equal(t, math.MaxInt, old.most, "no limit stays none")
 }
 
-// A link goes on at the younger process as it stood: bytes between two lines, silence, its backend's end, weight.
+// A link goes on at the younger process as it stood: bytes between two lines, silence, its backend's end,
+// weight.
 func TestLinkHandedOver(t *testing.T) {
 	old := open(t, nil, 0, "b1=active")
 	old.stands()
@@ -206,8 +214,8 @@
 		step{1801, "tick", "write 7 MOVE|; end 7; end s1"})
 }
 
-// Against a younger process that has so few descriptors left that probes, or links handed over, take what clients
-// come in by: they waited at the door until the elder was gone (two of 2,000 drawn experiments).
+// Against a younger process that has so few descriptors left that probes, or links handed over, take what
+// clients come in by: they waited at the door until the elder was gone (two of 2,000 drawn experiments).
 func TestYoungerKeepsItsDoorOpen(t *testing.T) {
 	for sockets, most := range map[int]int{110: 0, 130: 1, 160: 30} {
 		youngerKeepsItsDoorOpen(t, sockets, most)
@@ -224,7 +232,8 @@
 	for i := 1; i <= 30; i++ {
 		id := strings.Repeat("i", i)
 		old.at(2, "open "+strconv.Itoa(i))
-		if said := old.at(2, "came "+strconv.Itoa(i)+" OPEN "+id+" 1f c=feed,t=one,d=2000|"); strings.HasPrefix(said, "dial") {
+		if said := old.at(2,
+			"came "+strconv.Itoa(i)+" OPEN "+id+" 1f c=feed,t=one,d=2000|"); strings.HasPrefix(said, "dial") {
 			conn := strings.Fields(said)[1]
 			old.at(3, "up "+conn)
 			old.at(4, "came "+conn+" UP r|")
@@ -232,8 +241,9 @@
 	}
 	require.Greater(t, old.Standing, 20)
 	old.at(100, "beside younger")
-	s := begin(t, probing, &Told{Seed: 6, Sockets: sockets, Elder: true, Left: old.left, Discovery: "10.1.0.1:85",
-		Known: &News{}})
+	s := begin(t, probing, &Told{Seed: 6, Sockets: sockets, Elder: true, Left: old.left,
+		Discovery: "10.1.0.1:85",
+		Known:     &News{}})
 	s.at(10, "news 1 5 whole "+strings.Join(names, " "))
 	for now := 100.0; now < 2600; now += 50 {
 		s.at(now, "tick")
--- a/logic/budget.go
+++ b/logic/budget.go
@@ -7,8 +7,8 @@
 
 const slots = 64 // of a window
 
-// Budget counts links taken and tries beyond their first over a window. Its answers are on the safe side by one
-// slot at either edge: tries are counted a slot longer than the window, links a slot shorter.
+// Budget counts links taken and tries beyond their first over a window. Its answers are on the safe side by
+// one slot at either edge: tries are counted a slot longer than the window, links a slot shorter.
 type Budget struct {
 	free, share, width float64
 	at                 float64 // number of the slot that is counted in; -Inf before the first
@@ -16,8 +16,8 @@
 	yield              bool // another process of this relay has it
 }
 
-// NewBudget takes how many such tries are free in a window, how many more each link taken in it allows, and its
-// length.
+// NewBudget takes how many such tries are free in a window, how many more each link taken in it allows, and
+// its length.
 func NewBudget(free, share, window float64) *Budget {
 	return &Budget{free: free, share: share, width: window / slots, at: math.Inf(-1)}
 }
--- a/logic/budget_test.go
+++ b/logic/budget_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Against a plain count of all links and tries: at random times, in crowds and pauses, across windows' edges, no try
-// that is allowed breaks the rule; and most of what the rule gives is given.
+// Against a plain count of all links and tries: at random times, in crowds and pauses, across windows' edges,
+// no try that is allowed breaks the rule; and most of what the rule gives is given.
 func TestBudgetHoldsInAnyWindow(t *testing.T) {
 	for seed := range int64(40) {
 		chance := rand.New(rand.NewSource(seed))
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -94,8 +94,8 @@
 // good wants two failures before a server is out: one lost probe or one stall is not a death.
 func (h *Health) good(s int) bool { return h.failed[s] < 2 }
 
-// witness takes what a link went through at a server: a part of what was left to say against it, or of what was
-// said is taken back (negative).
+// witness takes what a link went through at a server: a part of what was left to say against it, or of what
+// was said is taken back (negative).
 func (h *Health) witness(s int, now, part float64) {
 	h.fade(now)
 	a := h.against[s]
@@ -103,9 +103,9 @@
 	h.usual += (h.against[s] - a) / float64(len(h.against))
 }
 
-// doubtful is how far a server's word is to be doubted, beyond what is usual: where set-ups go badly everywhere, as
-// with a slow store, they say nothing of one server. It fades, so that a server that gets no links by it is tried
-// again by ever better chances.
+// doubtful is how far a server's word is to be doubted, beyond what is usual: where set-ups go badly
+// everywhere, as with a slow store, they say nothing of one server. It fades, so that a server that gets no
+// links by it is tried again by ever better chances.
 func (h *Health) doubtful(s int, now float64) float64 {
 	if h.usual == 0 {
 		return 0
@@ -122,10 +122,11 @@
 
 // allow draws the cold server that a link may go to, or -1. Against hundreds of relays that each spend a link
 // at once: over the time since the last link, the chance comes to this relay's part of what fills cold
-// servers over their warm-up. To an even share at most; beyond it the link may go there only where no warm one
-// has room. Little is saved up, for the same reason. Once the span in which a server can fall is over, and a
-// report's time, what all relays sent it shows in its figure; where that is asked for each link the budget is
-// wider, against relays that seldom have a link leaving servers idle which they turn clients away from.
+// servers over their warm-up. To an even share at most; beyond it the link may go there only where no warm
+// one has room. Little is saved up, for the same reason. Once the span in which a server can fall is over,
+// and a report's time, what all relays sent it shows in its figure; where that is asked for each link the
+// budget is wider, against relays that seldom have a link leaving servers idle which they turn clients away
+// from.
 func (b *Balancer) allow(now float64, l *Link) int {
 	w, mark := b.warmup, b.mark(l)
 	sum, cold, all, pick, least := 0.0, 0.0, float64(b.track.usable), -1, math.Inf(1)
@@ -145,14 +146,16 @@
 	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
 	due := sum * pace * min(now-w.asked, 1.5*w.span) / max(l.load/b.shares.loadMean, 0.1)
 	w.asked = now
-	if lot := b.turns.chance.Float64(); !w.yield && pick >= 0 && lot < due && (lot < cold/all || b.seen(pick, now)) {
+	if lot := b.turns.chance.Float64(); !w.yield && pick >= 0 && lot < due && (lot < cold/all ||
+		b.seen(pick, now)) {
 		l.spare = lot >= cold/all
 		return pick
 	}
 	return -1
 }
 
-// seen tells whether a cold server's figure holds what all relays sent it, and is new as links ask as they come.
+// seen tells whether a cold server's figure holds what all relays sent it, and is new as links ask as they
+// come.
 func (b *Balancer) seen(s int, now float64) bool {
 	return b.part < 1 && now >= b.warmup.since[s]+b.warmup.span+reportLag
 }
@@ -357,9 +360,10 @@
 	}
 }
 
-// load is the server's figure with what was put there since: against a wave that all follows one late figure. What
-// links went through there comes on top, up to a full load: against reports of little from a server that sheds
-// them or does not answer, whose turns would be the most. A report is believed as far as links bear it out.
+// load is the server's figure with what was put there since: against a wave that all follows one late figure.
+// What links went through there comes on top, up to a full load: against reports of little from a server that
+// sheds them or does not answer, whose turns would be the most. A report is believed as far as links bear it
+// out.
 func (b *Balancer) load(s int, now float64) float64 {
 	l := b.probing.load[s]
 	if math.IsNaN(l) {
@@ -627,9 +631,9 @@
 
 // Leave says how long the nth of so many links that must go is left where it is: to the end of what a stop
 // leaves, as a relay stopped before may not be back yet, or as a server goes (0). Paced against a fleet that
-// is placed anew by one late report: they come again at once. By chance within its part of the time where there
-// are other relays, against many with a link each: every one is its relay's first, and all go in one moment. As
-// another process of this relay takes them at once, a stop has all its time.
+// is placed anew by one late report: they come again at once. By chance within its part of the time where
+// there are other relays, against many with a link each: every one is its relay's first, and all go in one
+// moment. As another process of this relay takes them at once, a stop has all its time.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
 	over := leaveOver
 	if within > 0 && b.warmup.yield {
@@ -643,8 +647,9 @@
 	return max(within-over, 0) + over*(float64(nth)+lot)/float64(of)
 }
 
-// Fit tells whether what is known is enough to serve beside another process of the same relay, which serves until
-// then: figures of most servers. Where links ask as they come, or nothing can be asked, there is nothing to wait for.
+// Fit tells whether what is known is enough to serve beside another process of the same relay, which serves
+// until then: figures of most servers. Where links ask as they come, or nothing can be asked, there is
+// nothing to wait for.
 func (b *Balancer) Fit(now float64) bool {
 	all, told := 0.0, 0.0
 	for s, c := range b.condition {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -664,8 +664,9 @@
 	}
 }
 
-// A server's word is believed as far as links bear it out: one that reports little and sheds, errs or does not answer
-// gets ever fewer, and all again once links stand there or time has passed; where all do so, no one is doubted.
+// A server's word is believed as far as links bear it out: one that reports little and sheds, errs or does
+// not answer gets ever fewer, and all again once links stand there or time has passed; where all do so, no
+// one is doubted.
 func TestServersWordAgainstItsLinks(t *testing.T) {
 	share := func(b *Balancer, now float64, end func(l *Link, at float64)) (part float64) {
 		const n = 100
@@ -710,7 +711,8 @@
 			b.After(at+20, l, c.end, true)
 		})
 		assert.Less(t, during, before/3, c.name)
-		assert.Greater(t, share(b, start+60000, well(b)), before*0.7, "%s: later it is tried again, and bears out its word", c.name)
+		assert.Greater(t, share(b, start+60000, well(b)), before*0.7,
+			"%s: later it is tried again, and bears out its word", c.name)
 	}
 	b := fleet{Loads: []float64{0.1, 0.5, 0.5, 0.5}, Tries: 1, Seed: 2}.build(t)
 	b.health.witness(0, start, against)
--- a/logic/record.go
+++ b/logic/record.go
@@ -5,8 +5,8 @@
 	"math"
 )
 
-// This file is what one process of a relay leaves to the next: what it has learnt, none of what it has in hand.
-// Neither decides anything; a test holds that the next decides as this one would.
+// This file is what one process of a relay leaves to the next: what it has learnt, none of what it has in
+// hand. Neither decides anything; a test holds that the next decides as this one would.
 
 // Record is what a balancer has learnt. Times are clock times; -1 stands for none.
 type Record struct {
@@ -65,7 +65,8 @@
 		LoadMean: s.loadMean, Known: s.known, Guessed: b.guessed, Listed: b.listed, Stood: e.stood, Over: e.over,
 		AsOf: e.asOf, Width: e.width, CutAt: e.cutAt, Asked: b.warmup.asked, Ended: map[uint64]float64{}}
 	if budget := e.budget; budget != nil {
-		r.Slot, r.Taken, r.More = none(budget.at), append(r.Taken, budget.taken[:]...), append(r.More, budget.more[:]...)
+		r.Slot, r.Taken, r.More = none(budget.at), append(r.Taken, budget.taken[:]...), append(r.More,
+			budget.more[:]...)
 	}
 	for i, id := range b.ids {
 		if b.condition[i] == Gone {
@@ -110,7 +111,8 @@
 		return errors.New("record: a figure is no number or negative")
 	}
 	for _, s := range r.Servers {
-		if bad(s.Started, some(s.Load, 0), some(s.HeardAt, 0), some(s.AskedAt, 0), some(s.WarmFrom, 0), s.Against) ||
+		if bad(s.Started, some(s.Load, 0), some(s.HeardAt, 0), some(s.AskedAt, 0), some(s.WarmFrom, 0),
+			s.Against) ||
 			s.Failed < 0 || s.Against > 1 {
 			return errors.New("record: a server's figure is no number or negative")
 		}
--- a/logic/types.go
+++ b/logic/types.go
@@ -302,8 +302,8 @@
 	budget            *Budget // nil: none
 }
 
-// NewEffects takes the categories, the most setup tries of a link, the longest retry-after (0: none), the number of
-// relays and the budget of tries beyond a link's first (nil: none).
+// NewEffects takes the categories, the most setup tries of a link, the longest retry-after (0: none), the
+// number of relays and the budget of tries beyond a link's first (nil: none).
 func NewEffects(categories []Category, mostTries int, maxBack float64, relays int, budget *Budget) *Effects {
 	return &Effects{categories: categories, mostTries: mostTries, maxBack: maxBack, relays: float64(relays),
 		width: max(widest/float64(relays), 1), budget: budget}
@@ -436,7 +436,8 @@
 // doubt counts a failure of the server.
 func (b *Balancer) doubt(s int) { b.health.failed[s]++; b.turns.expire(); b.touch(s) }
 
-// Unasked takes that a probe that was due was not sent: it says nothing of the server, and is due again later.
+// Unasked takes that a probe that was due was not sent: it says nothing of the server, and is due again
+// later.
 func (b *Balancer) Unasked(id uint32) {
 	if s, known := b.index[id]; known {
 		b.probing.sentAt[s] = math.NaN()
@@ -444,7 +445,8 @@
 	}
 }
 
-// fade takes off what time has taken off all that was said against servers; not at each call, as all fade alike.
+// fade takes off what time has taken off all that was said against servers; not at each call, as all fade
+// alike.
 func (h *Health) fade(now float64) {
 	if now < h.fadedAt+fadeEvery {
 		return
@@ -547,14 +549,14 @@
 	return b.links[s], b.probing.heardAt[s], b.condition[s] != Ready || !b.health.good(s)
 }
 
-// Census counts the servers that the list has, draining ones among them, and those of them that no new link is
-// sent to now: they drain, or don't answer.
+// Census counts the servers that the list has, draining ones among them, and those of them that no new link
+// is sent to now: they drain, or don't answer.
 func (b *Balancer) Census() (listed, avoided int) {
 	return b.track.listed, b.track.listed - b.track.usable
 }
 
-// Yield has this process send nothing to cold servers, and nothing beyond a link's first try where there is a budget
-// of those, while another of the same relay does: against two budgets.
+// Yield has this process send nothing to cold servers, and nothing beyond a link's first try where there is a
+// budget of those, while another of the same relay does: against two budgets.
 func (b *Balancer) Yield(on bool) {
 	b.warmup.yield = on
 	if budget := b.effects.budget; budget != nil {
