One kill time for the lab, one way for an event under the lock, a board without its copy

On reading the change again: both drivers of the lab reckoned when a relay is killed (experiment.KillAfter now); taking an event, carrying it out and publishing stood three times beside take (tell); the board kept the former figures though its own values tell; two experiments of a test shared their fleet; some lines were wrapped in odd places.

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -291,5 +291,15 @@
 	}
 }
 
+// KillAfter is when the platform kills a relay that it told to stop: the longest hard limit, three seconds at
+// the most, and 0.7 s more.
+func (x *Experiment) KillAfter() float64 {
+	longest := 0.0
+	for _, t := range x.Traffic {
+		longest = max(longest, float64(t.HardLimit))
+	}
+	return min(longest, 3000) + 700
+}
+
 // Zone names a zone by its number.
 func Zone(n int) string { return string(rune('a' + n)) }
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -353,7 +353,7 @@
 			case yes:
 				elder.Process.Signal(syscall.SIGTERM)
 				r.killLater(p, elder, turn)
-				r.after(r.killAfter(), func() {
+				r.after(r.x.KillAfter(), func() {
 					if p.turn == turn {
 						p.elder = nil
 						done()
@@ -376,21 +376,13 @@
 
 // killLater kills a process that was told to stop, if it has not by the time that the platform gives.
 func (r *Run) killLater(p *process, cmd *exec.Cmd, turn int) {
-	r.after(r.killAfter(), func() {
+	r.after(r.x.KillAfter(), func() {
 		if p.turn == turn && (p.alive || cmd != p.cmd) {
 			cmd.Process.Kill()
 		}
 	})
 }
 
-func (r *Run) killAfter() float64 {
-	longest := 0.0
-	for _, t := range r.x.Traffic {
-		longest = max(longest, float64(t.HardLimit))
-	}
-	return min(longest, 3000) + 700
-}
-
 // Start has a relay start again.
 func (r *Run) Start(i int) {
 	if err := r.launch(r.relays[i]); err != nil {
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -13,21 +14,15 @@
 	"valeshift/internal/lab/experiment"
 )
 
-const killAndDrain = `
-name = "kill and drain"
-seed = 2
-length = "15s"
-warm = "3s"
-[relays]
-count = 2
-back = "700ms"
-[fleet]
+// fleet is what both experiments play on, with so many new chats a second.
+func fleet(chats int) string {
+	return fmt.Sprintf(`[fleet]
 servers = 6
 cores = 2
 [[traffic]]
 category = "chat"
 standing = 80
-rate = 6
+rate = %d
 life = "10s"
 load = 10
 every = "400ms"
@@ -39,7 +34,18 @@
 life = "2s"
 load = 5
 every = "400ms"
-[[fault]]
+`, chats)
+}
+
+const killAndDrain = `
+name = "kill and drain"
+seed = 2
+length = "15s"
+warm = "3s"
+[relays]
+count = 2
+back = "700ms"
+%s[[fault]]
 kind = "drain"
 at = "4s"
 for = "5s"
@@ -65,25 +71,7 @@
 warm = "3s"
 [relays]
 count = 2
-[fleet]
-servers = 6
-cores = 2
-[[traffic]]
-category = "chat"
-standing = 80
-rate = 20
-life = "10s"
-load = 10
-every = "400ms"
-honours-busy = 1
-[[traffic]]
-category = "order"
-effect = "single-use"
-rate = 4
-life = "2s"
-load = 5
-every = "400ms"
-[[fault]]
+%s[[fault]]
 kind = "relay-replace"
 at = "4s"
 share = 1
@@ -102,8 +90,8 @@
 		kinds []string
 		least float64 // service
 	}{
-		{killAndDrain, []string{"drain", "relay-kill", "relay-restart", "reload"}, 0.7},
-		{replaceAndEmpty, []string{"relay-replace", "relay-drain"}, 0.9},
+		{fmt.Sprintf(killAndDrain, fleet(6)), []string{"drain", "relay-kill", "relay-restart", "reload"}, 0.7},
+		{fmt.Sprintf(replaceAndEmpty, fleet(20)), []string{"relay-replace", "relay-drain"}, 0.9},
 	} {
 		livePlay(t, c.text, c.kinds, c.least)
 	}
--- a/internal/lab/sim/relay.go
+++ b/internal/lab/sim/relay.go
@@ -46,9 +46,8 @@
 
 func newProcess(d *node, number int, brain Brain, list *model.Catalogue, watch model.Witness,
 	exit func()) *process {
-	p := &process{node: d, number: number, brain: brain, list: list, watch: watch, exit: exit,
+	return &process{node: d, number: number, brain: brain, list: list, watch: watch, exit: exit,
 		conns: map[uint64]uint64{}, back: map[uint64]uint64{}, told: map[string]bool{}}
-	return p
 }
 
 // take gives the reducer one event and carries out what follows; what comes of that waits its turn.
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -184,7 +184,7 @@
 	}
 	elder.exit = alone
 	elder.take(relay.Event{Kind: relay.Stop, Yield: true})
-	s.net.after(s.killAfter(), func() {
+	s.net.after(s.x.KillAfter(), func() {
 		if !elder.over {
 			elder.stop(true)
 			alone()
@@ -198,15 +198,6 @@
 	s.relays[i].take(relay.Event{Kind: relay.LameDuck, Off: !on})
 }
 
-// killAfter is when a process that was told to stop is killed.
-func (s *Sim) killAfter() float64 {
-	longest := 0.0
-	for _, t := range s.x.Traffic {
-		longest = max(longest, float64(t.HardLimit))
-	}
-	return min(longest, 3000) + 700
-}
-
 func (s *Sim) ended(i int) {
 	s.past[i] = s.reducer[i].Counters
 	s.known[i] = s.world.List.Whole()
@@ -284,7 +275,7 @@
 	s.net.tell("relay %d stops", i)
 	p := s.relays[i]
 	p.take(relay.Event{Kind: relay.Stop})
-	s.net.after(s.killAfter(), func() {
+	s.net.after(s.x.KillAfter(), func() {
 		if !p.over {
 			p.stop(true)
 			s.ended(i)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -69,8 +69,10 @@
 	for _, over := range []struct {
 		name string
 		to   *string
-	}{{"RELAY_NAME", &t.Name}, {"RELAY_LISTEN", &t.Listen}, {"RELAY_DISCOVERY",
-		&t.Discovery}, {"RELAY_OPS", &t.Ops}} {
+	}{
+		{"RELAY_NAME", &t.Name}, {"RELAY_LISTEN", &t.Listen}, {"RELAY_DISCOVERY", &t.Discovery},
+		{"RELAY_OPS", &t.Ops},
+	} {
 		if v := getenv(over.name); v != "" {
 			*over.to = v
 		}
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -44,7 +44,7 @@
 	names  []ops.Figure
 	values []atomic.Uint64
 	ready  atomic.Bool
-	last   []uint64 // the publisher's own
+	now    []uint64 // the publisher's own
 }
 
 func newBoard(r *Reducer) *board {
@@ -55,15 +55,12 @@
 // publish is called under the relay's lock. Against a cost for each line of a busy relay: what stays as it
 // was is not written again.
 func (b *board) publish(r *Reducer) {
-	before := len(b.last)
-	b.last = r.figures(b.last)
-	now := b.last[before:]
-	for i, v := range now {
-		if before == 0 || b.last[i] != v {
+	b.now = r.figures(b.now[:0])
+	for i, v := range b.now {
+		if b.values[i].Load() != v {
 			b.values[i].Store(v)
 		}
 	}
-	b.last = b.last[:copy(b.last, now)]
 	b.ready.Store(r.serving())
 }
 
--- a/internal/relay/passing.go
+++ b/internal/relay/passing.go
@@ -106,7 +106,7 @@
 		}
 	}
 	s.parted = nil
-	s.carryOut(s.reducer.Take(s.now(), Event{Kind: Part, Conn: client}))
+	s.tell(Event{Kind: Part, Conn: client})
 	record := s.parted
 	if record == nil {
 		return nil, fds
@@ -130,7 +130,7 @@
 		}
 		s.again(k)
 	}
-	s.carryOut(s.reducer.Take(s.now(), Event{Kind: Given, Conn: client, Off: true}))
+	s.tell(Event{Kind: Given, Conn: client, Off: true})
 	return nil, fds
 }
 
@@ -189,7 +189,7 @@
 	s.clients++
 	client := s.clients
 	s.adopted = 0
-	s.carryOut(s.reducer.Take(s.now(), Event{Kind: Adopt, Conn: client, Passed: record}))
+	s.tell(Event{Kind: Adopt, Conn: client, Passed: record})
 	if s.adopted == 0 {
 		both[0].Close()
 		both[1].Close()
@@ -203,8 +203,5 @@
 			s.work.do(func() { s.take(Event{Kind: Over, Conn: conn, Broken: true}) })
 		}
 	}
-	if s.board != nil {
-		s.board.publish(s.reducer)
-	}
 	return true
 }
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -259,6 +259,11 @@
 func (s *Sockets) take(e Event) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.tell(e)
+}
+
+// tell does so where the lock is held.
+func (s *Sockets) tell(e Event) {
 	s.carryOut(s.reducer.Take(s.now(), e))
 	if s.board != nil {
 		s.board.publish(s.reducer)
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -102,19 +102,17 @@
 
 // beside takes which other processes of this relay are alive.
 func (r *Reducer) beside(e Event) {
-	elder, younger := e.Elder, e.Younger
-	if younger != r.younger {
-		r.note("younger process", "there", younger)
-		r.younger = younger
-		// From here on the younger has the budget of cold servers.
-		r.table.Balancer.Yield(younger)
+	if e.Younger != r.younger {
+		r.note("younger process", "there", e.Younger)
+		r.younger = e.Younger
+		r.table.Balancer.Yield(e.Younger) // it has the budgets from here on
 	}
-	if elder != r.elder {
-		r.note("elder process", "there", elder)
-		r.elder = elder
+	if e.Elder != r.elder {
+		r.note("elder process", "there", e.Elder)
+		r.elder = e.Elder
 	}
 	r.share()
-	if younger && e.Leave {
+	if e.Younger && e.Leave {
 		r.do(Effect{Do: Bequeath, Left: r.handover()})
 	}
 }
@@ -224,9 +222,9 @@
 	category, known := r.categories[p.Category]
 	party, named := r.parties[p.Party]
 	b := r.backends[p.Backend]
-	if p.Version != handoverVersion || !known || b == nil || !(p.Load >= 0 && p.Load < math.MaxFloat64) ||
-		p.ID == "" ||
-		r.ids[p.ID] != nil || (p.Party != "" && !named) || r.stopping {
+	strange := p.Version != handoverVersion || !known || b == nil || (p.Party != "" && !named)
+	wrong := !(p.Load >= 0 && p.Load < math.MaxFloat64) || p.ID == "" || r.ids[p.ID] != nil
+	if strange || wrong || r.stopping {
 		r.note("refused a link of the elder process", "version", p.Version, "category", p.Category,
 			"backend", p.Backend)
 		return
