The auditor is tested by relays that keep their clients, or turn some away while replaced

No change to the program; the cases of before stand as they were, on an experiment with both faults.

--- a/internal/lab/sim/spoil_test.go
+++ b/internal/lab/sim/spoil_test.go
@@ -59,6 +59,15 @@
 kind = "growth"
 at = "5s"
 share = 0.25
+[[fault]]
+kind = "relay-drain"
+at = "8s"
+for = "5s"
+share = 0.3
+[[fault]]
+kind = "relay-replace"
+at = "15s"
+share = 1
 `
 	for _, c := range []struct {
 		name  string
@@ -118,6 +127,26 @@
 			})
 			return s
 		}},
+		{"keeps its clients though it is to be empty", audit.Lines, "still held", func() *spoiled {
+			return &spoiled{before: func(e relay.Event) relay.Event {
+				if e.Kind == relay.LameDuck {
+					e = relay.Event{Kind: relay.Tick}
+				}
+				return e
+			}}
+		}},
+		{"turns clients away while it is replaced", audit.FinalAnswer, "did not let a client in", func() *spoiled {
+			replaced := false
+			return &spoiled{before: func(e relay.Event) relay.Event {
+				replaced = replaced || e.Kind == relay.Beside
+				return e
+			}, after: each(func(f relay.Effect) []relay.Effect {
+				if replaced && toClient(f) && strings.HasPrefix(text(f), "UP") {
+					return []relay.Effect{{Do: relay.End, Conn: f.Conn}}
+				}
+				return []relay.Effect{f}
+			})}
+		}},
 		{"ignores drains", audit.Drain, "leaving for", func() *spoiled {
 			return &spoiled{before: func(e relay.Event) relay.Event {
 				if e.Kind == relay.ListNews {
