A server's doubt kept apart from its figure; one flag yields both budgets

On reading the change again: refresh took off the doubt that load had just added, with the exponential twice a server (figured is the figure alone now, load is both); that another process has the budgets stood in two places (Effects.yield now, asked by affords).

--- a/logic/budget.go
+++ b/logic/budget.go
@@ -13,7 +13,6 @@
 	free, share, width float64
 	at                 float64 // number of the slot that is counted in; -Inf before the first
 	taken, more        [slots + 1]float64
-	yield              bool // another process of this relay has it
 }
 
 // NewBudget takes how many such tries are free in a window, how many more each link taken in it allows, and
@@ -63,5 +62,5 @@
 			taken += b.taken[i]
 		}
 	}
-	return !b.yield && more+1 <= b.free+b.share*taken
+	return more+1 <= b.free+b.share*taken
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -146,8 +146,8 @@
 	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
 	due := sum * pace * min(now-w.asked, 1.5*w.span) / max(l.load/b.shares.loadMean, 0.1)
 	w.asked = now
-	if lot := b.turns.chance.Float64(); !w.yield && pick >= 0 && lot < due && (lot < cold/all ||
-		b.seen(pick, now)) {
+	lot := b.turns.chance.Float64()
+	if !b.effects.yield && pick >= 0 && lot < due && (lot < cold/all || b.seen(pick, now)) {
 		l.spare = lot >= cold/all
 		return pick
 	}
@@ -172,7 +172,7 @@
 
 func (e *Effects) again(l *Link, now float64) bool {
 	c := &e.categories[l.Category]
-	if l.tries >= e.mostTries || now >= l.Limit || (l.tries > 0 && !e.budget.allows(now)) {
+	if l.tries >= e.mostTries || now >= l.Limit || (l.tries > 0 && !e.affords(now)) {
 		return false
 	}
 	return l.ran < 0 || c.Effect == Replayable || (c.Effect == Referenced && now < l.ranAt+c.RepeatWindow)
@@ -195,6 +195,12 @@
 	return e.out < int(e.width) || (e.out == 0 && chance.Float64() < e.width)
 }
 
+// affords tells whether the budget, where there is one and this process has it, has a try beyond a link's
+// first.
+func (e *Effects) affords(now float64) bool {
+	return e.budget.allows(now) && !(e.yield && e.budget != nil)
+}
+
 // end gives the link up. Against telling a client to repeat what may have run: then it is an error.
 func (e *Effects) end(l *Link, now float64) Answer {
 	c := &e.categories[l.Category]
@@ -285,7 +291,7 @@
 			// Against links on servers that leave, held against the others' loads: they make all look larger.
 			ready, own, fresh = ready+1, own+b.linkLoads[s], fresh+b.probing.fresh[s]
 			if !math.IsNaN(b.probing.load[s]) {
-				sum, known = sum+b.load(s, now)-b.health.doubtful(s, now), known+1
+				sum, known = sum+b.figured(s, now), known+1
 			}
 		}
 	}
@@ -360,11 +366,16 @@
 	}
 }
 
-// load is the server's figure with what was put there since: against a wave that all follows one late figure.
-// What links went through there comes on top, up to a full load: against reports of little from a server that
-// sheds them or does not answer, whose turns would be the most. A report is believed as far as links bear it
-// out.
+// load is what a server is held to bear: its figure, and what links went through there, up to a full load.
+// Against reports of little from a server that sheds them or does not answer, whose turns would be the most.
+// A report is believed as far as links bear it out.
 func (b *Balancer) load(s int, now float64) float64 {
+	return b.figured(s, now) + b.health.doubtful(s, now)
+}
+
+// figured is the server's figure with what was put there since: against a wave that all follows one late
+// figure.
+func (b *Balancer) figured(s int, now float64) float64 {
 	l := b.probing.load[s]
 	if math.IsNaN(l) {
 		l = b.mean
@@ -372,7 +383,7 @@
 	others := b.shares.relays - 1
 	fresh := b.probing.fresh[s] * (1 + othersPart*others/(1+others/herd))
 	// A cold server's figure is of what it can do now, so a link weighs more there.
-	return l + fresh/cmp.Or(b.capacity*b.warmup.part(s, now), math.Inf(1)) + b.health.doubtful(s, now)
+	return l + fresh/cmp.Or(b.capacity*b.warmup.part(s, now), math.Inf(1))
 }
 
 // Place says where to send this link, or not yet, or never.
@@ -636,7 +647,7 @@
 // moment. As another process of this relay takes them at once, a stop has all its time.
 func (b *Balancer) Leave(nth, of int, within float64) float64 {
 	over := leaveOver
-	if within > 0 && b.warmup.yield {
+	if within > 0 && b.effects.yield {
 		over = min(within, leaveOver)
 	} else if within > 0 && b.shares.relays < 2 {
 		return within // nobody else takes them
--- a/logic/record.go
+++ b/logic/record.go
@@ -65,8 +65,8 @@
 		LoadMean: s.loadMean, Known: s.known, Guessed: b.guessed, Listed: b.listed, Stood: e.stood, Over: e.over,
 		AsOf: e.asOf, Width: e.width, CutAt: e.cutAt, Asked: b.warmup.asked, Ended: map[uint64]float64{}}
 	if budget := e.budget; budget != nil {
-		r.Slot, r.Taken, r.More = none(budget.at), append(r.Taken, budget.taken[:]...), append(r.More,
-			budget.more[:]...)
+		r.Slot = none(budget.at)
+		r.Taken, r.More = append(r.Taken, budget.taken[:]...), append(r.More, budget.more[:]...)
 	}
 	for i, id := range b.ids {
 		if b.condition[i] == Gone {
@@ -111,9 +111,8 @@
 		return errors.New("record: a figure is no number or negative")
 	}
 	for _, s := range r.Servers {
-		if bad(s.Started, some(s.Load, 0), some(s.HeardAt, 0), some(s.AskedAt, 0), some(s.WarmFrom, 0),
-			s.Against) ||
-			s.Failed < 0 || s.Against > 1 {
+		times := bad(s.Started, some(s.HeardAt, 0), some(s.AskedAt, 0), some(s.WarmFrom, 0))
+		if times || bad(some(s.Load, 0), s.Against) || s.Against > 1 || s.Failed < 0 {
 			return errors.New("record: a server's figure is no number or negative")
 		}
 		for _, x := range s.Placed {
--- a/logic/types.go
+++ b/logic/types.go
@@ -215,7 +215,6 @@
 
 	since []float64 // when it started cold, or -Inf
 	asked float64   // when a link last asked for a cold server
-	yield bool      // another process of this relay has the budget
 }
 
 // NewWarmup takes the part of its capacity a server starts at, when it is warm, the multiple of its present
@@ -300,6 +299,7 @@
 	relays            float64
 	out               int
 	budget            *Budget // nil: none
+	yield             bool    // another process of this relay has that, and the budget of cold servers
 }
 
 // NewEffects takes the categories, the most setup tries of a link, the longest retry-after (0: none), the
@@ -557,12 +557,7 @@
 
 // Yield has this process send nothing to cold servers, and nothing beyond a link's first try where there is a
 // budget of those, while another of the same relay does: against two budgets.
-func (b *Balancer) Yield(on bool) {
-	b.warmup.yield = on
-	if budget := b.effects.budget; budget != nil {
-		budget.yield = on
-	}
-}
+func (b *Balancer) Yield(on bool) { b.effects.yield = on }
 
 // Knows tells whether the settings name the category.
 func (b *Balancer) Knows(category int) bool { return category < len(b.effects.categories) }
