The lab keeps the list for relays as the platform does, simulated as on sockets

The simulation gave each relay that came back the whole list as it was at its end, with servers of long ago, so that it took the cold ones for warm until discovery told their starts, and learnt what a server bears meanwhile. Sockets gave none. Ruled out: discovery (without its fault the same), processes' start (up within 50 ms). A relay process that ends before the run begins is named with its last words; before, the run ended in a nil pointer (tested).

--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -56,6 +56,7 @@
 	Tries       int  `toml:"most-setup-tries"`
 	MaxBack     Span `toml:"max-retry-after"` // the longest time to come back that is told; 0: none
 	Probes      bool `toml:"probes"`
+	Known       bool `toml:"known"` // whether the platform gives a relay the list as it last had it
 }
 
 // Network is what lies between any two ends; two connections don't wait for one another.
@@ -177,7 +178,7 @@
 // Default is what holds where a file is silent.
 func Default() *Experiment {
 	return &Experiment{Name: "unnamed", Seed: 1, Length: 30000, Warm: 3000,
-		Relays:  Relays{Count: 2, Back: 1000, FrontNotice: 2000, Tries: 3, MaxBack: 1000, Probes: true},
+		Relays:  Relays{Count: 2, Back: 1000, FrontNotice: 2000, Tries: 3, MaxBack: 1000, Probes: true, Known: true},
 		Network: Network{Delay: 0.2, Jitter: 0.2, Split: 0.01},
 		Fleet: Fleet{Servers: 10, Zones: 1, Cores: 4, SpeedSpread: 0.1, SetupWork: 4, Reports: 200, Noise: 0.02,
 			ColdFrom: 0.2, Cold: 9000, TipMultiple: 3, Fall: 2000, Down: 5000}}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -1,6 +1,8 @@
 package live
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -70,6 +72,8 @@
 	socket  *os.File  // the clients', held here where a process can be replaced; else nil
 	elder   *exec.Cmd // while it is being replaced
 	ops     string    // where operators call
+	known   []byte    // what the platform keeps of the list for it
+	early   string    // why it ended before the run began
 }
 
 // Play plays an experiment with relays of that program; files and logs go to dir.
@@ -166,15 +170,26 @@
 		go server.Serve(l)
 		context.AfterFunc(r.ctx, func() { server.Close() })
 	}
+	r.mutex.Lock()
+	r.keep(p)
+	r.mutex.Unlock()
 	p.log, err = os.Create(filepath.Join(r.dir, fmt.Sprintf("relay-%d.log", p.number)))
 	return err
 }
 
+// keep has the platform keep the list as it is now for a relay, where the experiment has it do so.
+func (r *Run) keep(p *process) {
+	if r.x.Relays.Known {
+		p.known = encode(r.world.List.Whole())
+	}
+}
+
 // configure writes the relay's configuration.
 func (r *Run) configure(p *process) error {
 	text, err := json.Marshal(map[string]any{"name": fmt.Sprintf("relay-%d", p.number), "listen": p.address,
 		"discovery": p.lists[p.using], "ops": p.ops,
 		"seed":     strconv.FormatUint(r.x.Chance("relay", p.number*1000+p.turn).Uint64(), 16),
+		"known":    json.RawMessage(cmp.Or(string(p.known), "null")),
 		"limits":   map[string]any{"cores": 1, "memory_mb": 0, "sockets": r.x.Relays.Sockets},
 		"settings": r.x.Told(p.number % r.x.Fleet.Zones)})
 	if err != nil {
@@ -217,13 +232,19 @@
 	p.alive = true
 	cmd, turn := p.cmd, p.turn
 	go func() {
-		cmd.Wait()
+		err := cmd.Wait()
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
-		if !r.closed && p.turn == turn && p.alive { // it ended by itself: planned, or a crash
-			p.alive = false
-			r.world.Exited(p.number)
+		if r.closed || p.turn != turn || !p.alive {
+			return
 		}
+		p.alive = false
+		if r.world.Crowd == nil { // the run has not begun: it is over before it does
+			p.early = fmt.Sprint(cmp.Or(err, errors.New("exit status 0")))
+			return
+		}
+		r.keep(p)
+		r.world.Exited(p.number) // it ended by itself: planned, or a crash
 	}()
 	return nil
 }
@@ -231,6 +252,12 @@
 // await waits until a relay answers.
 func (r *Run) await(ctx context.Context, p *process) error {
 	for until := time.Now().Add(ready); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		r.mutex.Lock()
+		early := p.early
+		r.mutex.Unlock()
+		if early != "" {
+			return fmt.Errorf("relay %d ended before the run began (%s): %s", p.number, early, r.lastWords(p))
+		}
 		c, err := net.DialTimeout("tcp", p.address, time.Second)
 		if err != nil {
 			continue
@@ -247,7 +274,14 @@
 			return ctx.Err()
 		}
 	}
-	return fmt.Errorf("relay %d does not serve; its log is in %s", p.number, r.dir)
+	return fmt.Errorf("relay %d does not serve: %s", p.number, r.lastWords(p))
+}
+
+// lastWords is the end of a relay's log.
+func (r *Run) lastWords(p *process) string {
+	text, _ := os.ReadFile(p.log.Name())
+	text = bytes.TrimSpace(text)
+	return string(text[max(len(text)-400, 0):])
 }
 
 func (r *Run) close() {
@@ -300,6 +334,7 @@
 func (r *Run) Kill(i int) {
 	p := r.relays[i]
 	p.alive = false
+	r.keep(p)
 	p.cmd.Process.Kill()
 	if p.elder != nil {
 		p.elder.Process.Kill()
--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -124,3 +125,14 @@
 	}
 	assert.ElementsMatch(t, want, kinds)
 }
+
+// A relay that ends before the run begins is named, with its last words: before, the run ended in a nil pointer.
+func TestEndsEarly(t *testing.T) {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "relay")
+	require.NoError(t, os.WriteFile(binary, []byte("#!/bin/sh\necho no such luck >&2\nexit 3\n"), 0o755))
+	x, err := experiment.Parse([]byte("[relays]\ncount = 1\n[[traffic]]\nrate = 1\n"))
+	require.NoError(t, err)
+	_, err = Play(context.Background(), x, binary, dir)
+	assert.ErrorContains(t, err, "relay 0 ended before the run began (exit status 3): no such luck")
+}
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -74,7 +74,7 @@
 		addresses = append(addresses, d.address)
 		s.relays = append(s.relays, &process{node: d, over: true})
 		s.reducer, s.lives = append(s.reducer, nil), append(s.lives, 0)
-		s.known, s.past = append(s.known, s.world.List.Whole()), append(s.past, relay.Counters{})
+		s.known, s.past = append(s.known, s.keeps()), append(s.past, relay.Counters{})
 		if err := s.start(i); err != nil {
 			return nil, err
 		}
@@ -200,10 +200,18 @@
 
 func (s *Sim) ended(i int) {
 	s.past[i] = s.reducer[i].Counters
-	s.known[i] = s.world.List.Whole()
+	s.known[i] = s.keeps()
 	s.world.Exited(i)
 }
 
+// keeps is what the platform keeps of the list for a relay that ends now.
+func (s *Sim) keeps() *relay.News {
+	if !s.x.Relays.Known {
+		return &relay.News{Whole: true}
+	}
+	return s.world.List.Whole()
+}
+
 // Policy makes the module of one relay for a variant.
 func Policy(x *experiment.Experiment, variant string, told *relay.Told,
 	truth func(uint32) float64) (hand.Module, error) {
@@ -262,7 +270,7 @@
 // Kill ends a relay at once.
 func (s *Sim) Kill(i int) {
 	s.net.tell("relay %d killed", i)
-	s.past[i], s.known[i] = s.reducer[i].Counters, s.world.List.Whole()
+	s.past[i], s.known[i] = s.reducer[i].Counters, s.keeps()
 	p := s.relays[i]
 	p.stop(true)
 	if p.beside != nil && !p.beside.over {
