--- /dev/null
+++ b/internal/admit/admit.go
@@ -0,0 +1,150 @@
+// Package admit decides how much one relay sends to cold servers after the whole fleet lost power, and whom it
+// lets go first: all servers are cold then, all relays young, all clients there at once. The paper has no such
+// case: its buckets follow probed load (section IV-B), which says nothing of servers that nobody has used yet.
+// It is asked by the decision module, knows no server and no link, and is silent until the module is told what
+// was learnt before, or that the fleet recovers. Times are milliseconds.
+package admit
+
+import "math"
+
+const (
+	recoverPart = 1.0 / 3 // of what all cold servers bear within a span, that all relays together send them
+	cheapLeast  = 0.25    // of the chance of dear links, that the cheapest have
+	meanFor     = 500.0   // over which the gain of those that wait is averaged
+	toldEarly   = 300.0   // around the time that a client was told, within which it keeps to it
+	toldLate    = 700.0
+	newPart     = 0.5 // of the chance, that who was told no time has while others come at theirs
+	toldFor     = 10000.0
+	mostTold    = 1 << 16 // clients, in each half of the memory of those told
+	faith       = 20.0    // links of its own, from which a relay trusts them as much as what was kept
+)
+
+// Admission is one relay's. The zero one, and none, change nothing.
+type Admission struct {
+	capacity float64 // of a server, by what was kept; 0: nothing
+	on       bool
+	part     float64 // this relay's, of the budget of cold servers
+	gain     float64 // mean of the links that asked for a cold server of late
+	gainAt   float64
+	prompt   float64 // when the last client came at the time it was told
+
+	recent, older map[uint64]float64 // when clients were told to come again, by key
+	turned        float64
+}
+
+// New starts with nothing known.
+func New() *Admission { return &Admission{gainAt: math.Inf(-1), prompt: math.Inf(-1)} }
+
+// Knows takes what a server bears by what was kept.
+func (a *Admission) Knows(capacity float64) { a.capacity = capacity }
+
+// Kept is that, for the next life; 0 where there is none.
+func (a *Admission) Kept() float64 {
+	if a == nil {
+		return 0
+	}
+	return a.capacity
+}
+
+// On takes that the fleet recovers, or has, and which part of what cold servers bear this relay is to take, by
+// how many relays there are and how many clients wait at each; 0: an even one. Whatever others say, it is
+// never more than two even parts: so all relays together stay under twice the whole, which leaves a third of
+// what servers bear.
+func (a *Admission) On(on bool, part, relays float64) {
+	a.on, a.part = on, 1/relays
+	if part > 0 {
+		a.part = min(part, 2/relays)
+	}
+}
+
+// Bears is what a server bears by what this relay has seen of so many links, and by what was kept as far as
+// that is little.
+func (a *Admission) Bears(seen, links float64) float64 {
+	if a == nil || a.capacity == 0 {
+		return seen
+	}
+	return (seen*links + a.capacity*faith) / (links + faith)
+}
+
+// Pace is this relay's budget of cold servers for a millisecond and all of one's capacity, in links of the mean
+// load, of which a server bears so many; a server falls at that multiple of its present capacity within the
+// span; cold and usable count servers. While the fleet recovers and what a server bears is known, it is a part
+// of what they bear within that span, in place of what fills them over their warm-up: there is no warm server
+// beside them that could serve meanwhile.
+func (a *Admission) Pace(links, multiple, span, usual, cold, usable float64) float64 {
+	if a != nil && a.on && a.capacity > 0 && 2*cold > usable {
+		return recoverPart * multiple * links / span * a.part
+	}
+	return usual
+}
+
+// Offers is the part of the time since the last link asked for a cold server that one of that gain and key is
+// offered; the rest is left to the next. The dearest, and those that come at the time they were told, go first.
+func (a *Admission) Offers(gain float64, key uint64, now float64) float64 {
+	if a == nil || !a.on {
+		return 1
+	}
+	fade := math.Exp((a.gainAt - now) / meanFor)
+	a.gain, a.gainAt = a.gain*fade+gain*(1-fade), now
+	part := max(min(gain/a.gain, 1), cheapLeast)
+	due, told := a.find(key)
+	switch {
+	case told && now > due-toldEarly && now < due+toldLate:
+		a.prompt = now
+	case now < a.prompt+meanFor:
+		part *= newPart
+	}
+	return part
+}
+
+// Back is when a client of that key that is turned away is told to come again, within the longest wait: while
+// the fleet recovers at times spread over its second half by the lot, against all coming in one moment.
+func (a *Admission) Back(most float64, key uint64, now, lot float64) float64 {
+	if a == nil || !a.on || most <= 0 {
+		return most
+	}
+	wait := most * (0.5 + 0.5*lot)
+	a.keep(now, key, now+wait)
+	return wait
+}
+
+func (a *Admission) keep(now float64, key uint64, due float64) {
+	if a.recent == nil || now > a.turned+toldFor {
+		a.recent, a.older, a.turned = map[uint64]float64{}, a.recent, now
+	}
+	if key != 0 && len(a.recent) < mostTold {
+		a.recent[key] = due
+	}
+}
+
+func (a *Admission) find(key uint64) (due float64, told bool) {
+	if due, told = a.recent[key]; !told {
+		due, told = a.older[key]
+	}
+	return due, told && key != 0
+}
+
+// Told gives who was told to come again when, by key, as far as that lies ahead or just behind.
+func (a *Admission) Told(now float64, most int) map[uint64]float64 {
+	all := map[uint64]float64{}
+	if a == nil {
+		return all
+	}
+	for _, half := range []map[uint64]float64{a.older, a.recent} {
+		for key, due := range half {
+			if now < due+toldLate && len(all) < most {
+				all[key] = due
+			}
+		}
+	}
+	return all
+}
+
+// Promised takes whom this relay told so before its start, but for times that no client could have been told.
+func (a *Admission) Promised(now, longest float64, told map[uint64]float64) {
+	for key, due := range told {
+		if now < due+toldLate && due < now+longest {
+			a.keep(now, key, due)
+		}
+	}
+}
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -60,6 +60,14 @@
 	Fit(now float64) bool
 	Yield(on bool)
 	Record(now float64) logic.Record
+	Learnt() logic.Learnt
+	Recall(l logic.Learnt) bool
+	Recover(on bool, part float64)
+	Warmth(now float64) (cold, usable int)
+	Restart(now float64)
+	Suppose(now float64)
+	Told(now float64) map[uint64]float64
+	Promised(now float64, told map[uint64]float64)
 	Inherit(now float64, r *logic.Record) error
 }
 
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -259,3 +259,27 @@
 
 // Unasked takes that a probe was not sent; the baselines send none.
 func (m *Module) Unasked(uint32) {}
+
+// Learnt and what follows are of a fleet that recovers, which baselines know nothing of.
+func (m *Module) Learnt() logic.Learnt { return logic.Learnt{} }
+
+// Recall takes nothing.
+func (m *Module) Recall(logic.Learnt) bool { return false }
+
+// Recover changes nothing.
+func (m *Module) Recover(bool, float64) {}
+
+// Warmth says that all are warm.
+func (m *Module) Warmth(float64) (cold, usable int) { return 0, len(m.ids) }
+
+// Restart changes nothing.
+func (m *Module) Restart(float64) {}
+
+// Suppose changes nothing.
+func (m *Module) Suppose(float64) {}
+
+// Told is nobody.
+func (m *Module) Told(float64) map[uint64]float64 { return nil }
+
+// Promised takes nothing.
+func (m *Module) Promised(float64, map[uint64]float64) {}
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -169,6 +169,7 @@
 		return
 	}
 	r.arm(&r.watched, r.now+watchBeat)
+	r.heardAt = r.now
 	if e.Kind == ListHeard {
 		return
 	}
--- /dev/null
+++ b/internal/relay/recall.go
@@ -0,0 +1,150 @@
+package relay
+
+// This file is the part of the reducer for what outlives a relay: what it keeps of what it knows, and what it
+// makes of that at its next start. What of it is believed is decided elsewhere; here it only comes as events.
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"valeshift/logic"
+)
+
+const keptVersion = 1
+
+// Kept is what a relay keeps, for its next life and for others that ask: the list as discovery told it, what
+// links and servers weigh in general, and which clients it told to come again when. No load is among it, as
+// none is worth anything a second later.
+type Kept struct {
+	Version    int
+	List       *News   // nil: discovery has told none in this life
+	Told       float64 // clock time at which it last told that the list holds
+	Capacity   float64 // of a server, microseconds of work a second; 0: not known
+	LoadMean   float64
+	Categories map[string]KeptCategory
+	Back       map[uint64]float64 // clock times, by key
+
+	// Supposed: nobody who has heard discovery in this life tells the list, so that its servers are held to have
+	// just started.
+	Supposed bool `json:"-"`
+}
+
+// Seen is what others are told of how this relay fares.
+type Seen struct {
+	Now          float64
+	Told         bool // the list, by discovery
+	Index        uint64
+	Turned       int // clients turned away so far
+	Waiting      int // of those, in the last second
+	Links        int
+	Cold, Usable int // servers
+	Lame         bool
+}
+
+// Seen is that.
+func (r *Reducer) Seen(now float64) Seen {
+	cold, usable := r.table.Balancer.Warmth(now)
+	return Seen{Now: now, Told: r.told, Index: r.index, Turned: int(r.Rejected), Links: r.links, Cold: cold,
+		Usable: usable, Lame: r.lame}
+}
+
+// KeptCategory is what links of one category weigh, and how many that stands on.
+type KeptCategory struct{ Load, Weighed float64 }
+
+// Text is what is kept as it is written.
+func (k *Kept) Text() ([]byte, error) { return json.Marshal(k) }
+
+// ReadKept reads it, and names what can't be.
+func ReadKept(text []byte) (*Kept, error) {
+	k := &Kept{}
+	if err := json.Unmarshal(text, k); err != nil {
+		return nil, fmt.Errorf("kept: %w", err)
+	}
+	bad := func(x float64) bool { return !(x >= 0) || math.IsInf(x, 0) }
+	if k.Version != keptVersion {
+		return nil, fmt.Errorf("kept: version %d expected, got %d", keptVersion, k.Version)
+	}
+	if bad(k.Capacity) || bad(k.LoadMean) || bad(k.Told) {
+		return nil, fmt.Errorf("kept: a figure is no number or negative")
+	}
+	for name, c := range k.Categories {
+		if bad(c.Load) || bad(c.Weighed) {
+			return nil, fmt.Errorf("kept: category %q: a figure is no number or negative", name)
+		}
+	}
+	if k.List != nil {
+		for _, e := range k.List.Entries {
+			if e.Name == "" || e.Address == "" || bad(e.Since) || bad(e.Weight) {
+				return nil, fmt.Errorf("kept: list: an entry without name, address or a figure that can be")
+			}
+		}
+	}
+	return k, nil
+}
+
+// Kept is what this relay would keep now.
+func (r *Reducer) Kept() *Kept {
+	l := r.table.Balancer.Learnt()
+	k := &Kept{Version: keptVersion, Capacity: l.Capacity, LoadMean: l.LoadMean,
+		Categories: map[string]KeptCategory{}, Back: r.table.Balancer.Told(r.now)}
+	for name, i := range r.categories {
+		if i < len(l.Loads) {
+			k.Categories[name] = KeptCategory{l.Loads[i], l.Weighed[i]}
+		}
+	}
+	if r.told {
+		k.List, k.Told = r.listNow(), r.heardAt
+	}
+	return k
+}
+
+// listNow is the list as it is held.
+func (r *Reducer) listNow() *News {
+	n := &News{Index: r.index, Whole: true}
+	for _, b := range r.order {
+		if b.condition != logic.Gone {
+			n.Entries = append(n.Entries, b.Entry)
+		}
+	}
+	return n
+}
+
+// recall takes what is believed of what was kept. A list counts only until discovery tells one, and its
+// servers are held to have just started, as nobody knows better.
+func (r *Reducer) recall(k *Kept) {
+	l := logic.Learnt{Capacity: k.Capacity, LoadMean: k.LoadMean, Loads: make([]float64, len(r.categories)),
+		Weighed: make([]float64, len(r.categories))}
+	for name, i := range r.categories {
+		if c, known := k.Categories[name]; known {
+			l.Loads[i], l.Weighed[i] = c.Load, c.Weighed
+		}
+	}
+	m := r.table.Balancer
+	learnt := m.Recall(l)
+	m.Promised(r.now, k.Back)
+	listed := 0
+	if k.List != nil && !r.told && len(k.List.Entries) > 0 {
+		listed = len(k.List.Entries)
+		index := r.index
+		r.apply(&News{Whole: true, Entries: k.List.Entries})
+		r.index = index // what discovery tells is asked for whole
+		if k.Supposed {
+			m.Suppose(r.now)
+		}
+		if r.watching == 0 { // as the module has just been told a list, it would ask for one late
+			r.watch()
+		}
+	}
+	r.note("recalled", "backends", listed, "learnt", learnt, "capacity", math.Round(k.Capacity), "told to return",
+		len(k.Back))
+}
+
+// recovers takes that the whole fleet lost power, or that it has recovered.
+func (r *Reducer) recovers(on bool, part float64) {
+	r.table.Balancer.Recover(on, part)
+	if on != r.recovering {
+		r.note("recovery of the fleet", "on", on)
+	}
+	r.recovering = on
+}
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -41,6 +41,8 @@
 	Given                  // and is there, or (Off) stays here
 	Adopt                  // the elder process passes a standing link, Passed, its client to be Conn
 	Reload                 // the file was read again
+	Recalled               // what is known from before the start, here or at other relays, is Kept
+	Recovers               // the whole fleet lost power and recovers, or (Off) has recovered
 )
 
 // Event is one thing that happened.
@@ -51,7 +53,7 @@
 	Broken bool // Over: by a reset, not by an end
 	Unsent bool // Over: with something not written yet
 	Slow   bool // Over: as it took in too little of what was written
-	Off    bool // LameDuck, Given
+	Off    bool // LameDuck, Given, Recovers
 	Yield  bool // Stop: a younger process takes the clients from now on
 
 	Elder, Younger, Leave bool // Beside; Leave: the younger is to be left what is known
@@ -61,6 +63,8 @@
 	Text string // Reload: the address of discovery
 
 	Passed *Passed // Adopt
+	Kept   *Kept   // Recalled
+	Part   float64 // Recovers: of what cold servers bear, that this relay is to take
 }
 
 // Do is what an effect asks for.
@@ -219,20 +223,22 @@
 	limits                     []float64 // hard limit, by category
 	longest                    float64   // of them
 
-	backends map[string]*backend
-	byID     map[uint32]*backend
-	order    []*backend // as they came, so that one seed gives one order of effects
-	source   string     // address of discovery
-	untold   bool       // that is new, and has not told the list yet
-	renewing timer
-	index    uint64
-	asked    uint64 // the version that the watch was asked from
-	watching uint64 // number of the watch, or 0
-	watches  uint64
-	watched  timer
-	ready    bool
-	starting timer
-	told     bool // the list, by discovery
+	backends   map[string]*backend
+	byID       map[uint32]*backend
+	order      []*backend // as they came, so that one seed gives one order of effects
+	source     string     // address of discovery
+	untold     bool       // that is new, and has not told the list yet
+	renewing   timer
+	index      uint64
+	asked      uint64 // the version that the watch was asked from
+	watching   uint64 // number of the watch, or 0
+	watches    uint64
+	watched    timer
+	ready      bool
+	starting   timer
+	told       bool    // the list, by discovery
+	heardAt    float64 // from it, last
+	recovering bool
 
 	stopping bool
 	lame     bool    // emptied, but not to stop
@@ -343,6 +349,10 @@
 		r.adopt(e.Conn, e.Passed)
 	case Reload:
 		r.reload(e)
+	case Recalled:
+		r.recall(e.Kept)
+	case Recovers:
+		r.recovers(!e.Off, e.Part)
 	}
 	for len(r.timers) > 0 && r.timers[0].at <= now {
 		heap.Pop(&r.timers).(*timer).fire()
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -51,13 +51,8 @@
 
 // handover is what this process knows now.
 func (r *Reducer) handover() *Handover {
-	h := &Handover{Version: handoverVersion, At: r.now, List: &News{Index: r.index, Whole: true},
+	h := &Handover{Version: handoverVersion, At: r.now, List: r.listNow(),
 		Module: r.table.Balancer.Record(r.now), Files: r.most + r.besides(), Links: min(r.mostHeld, math.MaxInt32)}
-	for _, b := range r.order {
-		if b.condition != logic.Gone {
-			h.List.Entries = append(h.List.Entries, b.Entry)
-		}
-	}
 	kept := h.Module.Servers[:0]
 	for _, s := range h.Module.Servers {
 		if b := r.byID[s.ID]; b != nil {
--- a/logic/budget.go
+++ b/logic/budget.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// restart takes that a relay may have spent all that is free just before its start, and kept no word of it.
+func (b *Budget) restart(now float64) {
+	if b != nil {
+		b.turn(now)
+		b.more[b.slot(b.at)] += b.free
+	}
+}
+
 // allows tells whether one more keeps to the rule.
 func (b *Budget) allows(now float64) bool {
 	if b == nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -143,9 +143,12 @@
 			pick, least = s, d
 		}
 	}
-	pace := w.multiple / 2 * max(b.capacity/b.shares.loadMean, 1) / w.length / w.relays
-	due := sum * pace * min(now-w.asked, 1.5*w.span) / max(l.load/b.shares.loadMean, 0.1)
-	w.asked = now
+	since := min(now-w.asked, 1.5*w.span)
+	offered := since * b.admission.Offers(b.effects.categories[l.Category].Gain, l.Key, now)
+	links := max(b.capacity/b.shares.loadMean, 1)
+	pace := b.admission.Pace(links, w.multiple, w.span, w.multiple/2*links/w.length/w.relays, cold, all)
+	due := sum * pace * offered / max(l.load/b.shares.loadMean, 0.1)
+	w.asked = now - (since - offered)
 	lot := b.turns.chance.Float64()
 	if !b.effects.yield && pick >= 0 && lot < due && (lot < cold/all || b.seen(pick, now)) {
 		l.spare = lot >= cold/all
@@ -202,15 +205,23 @@
 }
 
 // end gives the link up. Against telling a client to repeat what may have run: then it is an error.
-func (e *Effects) end(l *Link, now float64) Answer {
-	c := &e.categories[l.Category]
+func (b *Balancer) end(l *Link, now float64) Answer {
+	c := &b.effects.categories[l.Category]
 	if l.ran < 0 || c.Effect == Replayable ||
-		(c.Effect == Referenced && c.Scope == ScopeAll && now+e.maxBack < l.ranAt+c.RepeatWindow) {
-		return Answer{Verdict: Reject, Wait: e.maxBack}
+		(c.Effect == Referenced && c.Scope == ScopeAll && now+b.effects.maxBack < l.ranAt+c.RepeatWindow) {
+		return Answer{Verdict: Reject, Wait: b.back(l, now)}
 	}
 	return Answer{Verdict: Fail}
 }
 
+// back is when a client is told to come again.
+func (b *Balancer) back(l *Link, now float64) float64 {
+	if b.admission == nil {
+		return b.effects.maxBack
+	}
+	return b.admission.Back(b.effects.maxBack, l.Key, now, b.turns.chance.Float64())
+}
+
 // expected is the load of a link not yet measured: its category's, drawn to the mean while few are known.
 func (s *Shares) expected(c int) float64 {
 	return (s.loads[c]*s.weighed[c] + s.loadMean*2) / (s.weighed[c] + 2)
@@ -239,6 +250,7 @@
 	} else if !known {
 		s = b.add(id)
 	}
+	b.settle(s, started)
 	if started > b.started[s] {
 		// A restart under the same id is a cold server: figures from before say nothing of it.
 		b.forget(s)
@@ -307,7 +319,7 @@
 	// The parties' shares tell for all relays what one with a handful of links can't guess from them.
 	faith := min(quotaFaith, b.shares.quota)
 	told := b.shares.quota / quotaPart / max(b.listed, 1) * b.shares.loadMean
-	b.capacity = (links*bears + faith*told) / max(links+faith, 1)
+	b.capacity = b.admission.Bears((links*bears+faith*told)/max(links+faith, 1), links+faith)
 	if faith == 0 && b.capacity > 0 {
 		// Against a relay just back that is told no shares: of the few links it holds each looks larger than a
 		// server, so that it takes none, and never learns better.
@@ -398,7 +410,7 @@
 		l.cold = b.allow(now, l)
 	}
 	if !b.effects.again(l, now) {
-		return b.effects.end(l, now)
+		return b.end(l, now)
 	}
 	s, until := -1, l.came+holdPart*(l.Limit-l.came)
 	if l.patient > 0 || b.effects.let(b.turns.chance) {
@@ -415,7 +427,7 @@
 	if s < 0 && now+holdStep < until {
 		return Answer{Verdict: Hold, Wait: holdStep}
 	} else if s < 0 {
-		return b.effects.end(l, now)
+		return b.end(l, now)
 	}
 	b.sent(now, l, s)
 	// All the time that is left: a try cut short on a slow store leaves its work there, and asks for more.
--- /dev/null
+++ b/logic/recovery.go
@@ -0,0 +1,116 @@
+package logic
+
+import (
+	"math"
+
+	"valeshift/internal/admit"
+)
+
+// This file is how the balancer takes what outlives a relay: what was learnt before its start, a list that
+// discovery has not confirmed, the loss of the whole fleet. What follows of those for cold servers is decided
+// in admit; nothing is decided here.
+
+// Learnt is what a relay knows of servers and links in general, not of any one: a hint to one just back.
+type Learnt struct {
+	Capacity       float64 // of a server, microseconds of work a second; 0: not known
+	LoadMean       float64 // of a link
+	Loads, Weighed []float64
+}
+
+// Learnt gives what this relay has learnt, for its next life and for others. With too few links for a word of
+// its own it passes on what it was told.
+func (b *Balancer) Learnt() Learnt {
+	s := b.shares
+	l := Learnt{Capacity: b.capacity, LoadMean: s.loadMean, Loads: append([]float64{}, s.loads...),
+		Weighed: append([]float64{}, s.weighed...)}
+	if s.known < quotaFaith {
+		l.Capacity = b.admission.Kept()
+	}
+	return l
+}
+
+// Recall takes what was learnt before this start, here or at another relay; what this life has learnt itself
+// goes before it.
+func (b *Balancer) Recall(l Learnt) bool {
+	s := b.shares
+	good := func(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
+	if !good(l.Capacity) || !good(l.LoadMean) || s.known >= quotaFaith || len(l.Loads) != len(s.loads) ||
+		len(l.Weighed) != len(s.weighed) {
+		return false
+	}
+	for i := range l.Loads {
+		if !(l.Loads[i] >= 0 && l.Weighed[i] >= 0) || math.IsInf(l.Loads[i], 1) {
+			return false
+		}
+	}
+	b.admits().Knows(l.Capacity)
+	copy(s.loads, l.Loads)
+	for i, w := range l.Weighed {
+		s.weighed[i] = min(w, 50)
+	}
+	s.loadMean, s.known = l.LoadMean, quotaFaith
+	b.turns.expire()
+	return true
+}
+
+func (b *Balancer) admits() *admit.Admission {
+	if b.admission == nil {
+		b.admission = admit.New()
+	}
+	return b.admission
+}
+
+// Recover takes that the whole fleet lost power, or has recovered, and which part of what cold servers bear
+// this relay is to take; 0: an even one.
+func (b *Balancer) Recover(on bool, part float64) { b.admits().On(on, part, b.warmup.relays) }
+
+// Warmth counts the servers that links are sent to, and those of them that are cold.
+func (b *Balancer) Warmth(now float64) (cold, usable int) {
+	for _, s := range b.coldOnes(now) {
+		if b.condition[s] == Ready && b.health.good(s) {
+			cold++
+		}
+	}
+	return cold, b.track.usable
+}
+
+// Restart takes that this relay may have served until just before its start: the tries that its last life may
+// have spent count here, so that the budget holds in a window that covers both.
+func (b *Balancer) Restart(now float64) { b.effects.budget.restart(now) }
+
+// Suppose takes that the servers listed now are from a list that was kept: whether one has restarted since,
+// nobody has told yet, so that each is held to have started now. Against cold servers taken for warm.
+func (b *Balancer) Suppose(now float64) {
+	if b.supposed == nil {
+		b.supposed = map[int]bool{}
+	}
+	for s := range b.mentioned {
+		if b.mentioned[s] {
+			b.supposed[s], b.started[s] = true, now
+			b.chill(s, now)
+		}
+	}
+}
+
+// settle takes discovery's word on when a server started, where that was only supposed.
+func (b *Balancer) settle(s int, started float64) {
+	if !b.supposed[s] {
+		return
+	}
+	delete(b.supposed, s)
+	b.started[s], b.warmup.since[s] = started, math.Inf(-1)
+	if started > 0 {
+		b.chill(s, started)
+	}
+	b.touch(s)
+}
+
+// Told gives who was told to come again when, by key; Promised takes whom the last life told so.
+func (b *Balancer) Told(now float64) map[uint64]float64 { return b.admission.Told(now, mostEnded) }
+
+// Promised takes that.
+func (b *Balancer) Promised(now float64, told map[uint64]float64) {
+	if len(told) > 0 {
+		b.admits().Promised(now, b.effects.maxBack, told)
+	}
+}
--- /dev/null
+++ b/logic/recovery_test.go
@@ -0,0 +1,103 @@
+package logic
+
+import (
+	"math"
+	"math/rand"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// young is a relay just back, of so many, with a fleet of cold servers.
+func young(relays, servers int, now float64, gains ...float64) *Balancer {
+	var categories []Category
+	for _, g := range gains {
+		categories = append(categories, Category{PromisedTime: 500, Gain: g})
+	}
+	b := New(NewRoster(true, 10000), NewTurns(rand.New(rand.NewSource(1))), NewWarmup(0.2, 9000, 3, 2000, relays),
+		NewProbing(true, 0, []string{"x0"}), NewEffects(categories, 3, 1000, relays, NewBudget(5, 0.1, 1000)),
+		NewShares(categories, nil, 1, relays), 0, 0, false, false)
+	b.ListBegan(true)
+	for i := range servers {
+		b.Listed(uint32(i+1), 0, Ready, 0, now, 1)
+	}
+	b.ListEnded(now)
+	return b
+}
+
+func learnt(categories int) Learnt {
+	l := Learnt{Capacity: 4e6, LoadMean: 4e4, Loads: make([]float64, categories), Weighed: make([]float64, categories)}
+	for i := range l.Loads {
+		l.Loads[i], l.Weighed[i] = 4e4, 50
+	}
+	return l
+}
+
+// place asks for so many links, one a step, and counts those sent.
+func place(b *Balancer, from float64, links int, step float64) (sent int) {
+	for i := range links {
+		now := from + float64(i)*step
+		l := &Link{Limit: now + 1000}
+		if b.Place(now, l).Verdict == Send {
+			sent++
+			b.Accepted(now, l)
+		}
+	}
+	return sent
+}
+
+// A relay that has learnt nothing grants cold servers next to nothing, which is what a power loss did to a
+// whole fleet; one that knows what they bear grants its part of it.
+func TestKnowsWhatServersBear(t *testing.T) {
+	blind, told := young(12, 24, 1000, 1), young(12, 24, 1000, 1)
+	require.True(t, told.Recall(learnt(1)))
+	told.Recover(true, 0)
+	assert.Less(t, place(blind, 1100, 60, 30), 6)
+	assert.Greater(t, place(told, 1100, 60, 30), 15)
+}
+
+func TestRecallRefuses(t *testing.T) {
+	for name, spoil := range map[string]func(*Learnt){
+		"no capacity":   func(l *Learnt) { l.Capacity = 0 },
+		"no number":     func(l *Learnt) { l.LoadMean = math.NaN() },
+		"endless":       func(l *Learnt) { l.Capacity = math.Inf(1) },
+		"other number":  func(l *Learnt) { l.Loads = nil },
+		"negative load": func(l *Learnt) { l.Loads[0] = -1 },
+	} {
+		b, l := young(2, 2, 1000, 1), learnt(1)
+		spoil(&l)
+		assert.False(t, b.Recall(l), name)
+		assert.Nil(t, b.admission, name)
+	}
+	b := young(2, 2, 1000, 1)
+	require.True(t, b.Recall(learnt(1)))
+	assert.False(t, b.Recall(learnt(1)), "what is known goes before what is said again")
+}
+
+// A server of a list that was kept is cold until discovery tells when it started.
+func TestSupposed(t *testing.T) {
+	b := young(2, 0, 1000, 1)
+	b.ListBegan(true)
+	b.Listed(1, 0, Ready, 0, 0, 1)
+	b.Listed(2, 0, Ready, 0, 0, 1)
+	b.ListEnded(1000)
+	b.Suppose(1000)
+	cold, usable := b.Warmth(1100)
+	assert.Equal(t, [2]int{2, 2}, [2]int{cold, usable})
+	b.ListBegan(true)
+	b.Listed(1, 0, Ready, 0, 0, 1)   // it never went
+	b.Listed(2, 0, Ready, 0, 900, 1) // it did, earlier than was held
+	b.ListEnded(1200)
+	cold, _ = b.Warmth(1200)
+	assert.Equal(t, 1, cold)
+	assert.Equal(t, 900.0, b.warmup.since[1])
+}
+
+// With no word of the window before the start, all that is free in it counts as spent.
+func TestRestartedBudget(t *testing.T) {
+	b := young(2, 2, 1000, 1)
+	b.Restart(1000)
+	assert.False(t, b.effects.budget.allows(1001))
+	assert.True(t, b.effects.budget.allows(3000))
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand"
 	"slices"
+
+	"valeshift/internal/admit"
 )
 
 // Effect says what a second run of a link would do.
@@ -369,6 +371,8 @@
 	part      float64 // of the fleet that is in use
 	ranks     []float64
 	track     track
+	admission *admit.Admission // nil: nothing is known from before the start
+	supposed  map[int]bool     // servers of a list that was kept, whose start nobody has told
 }
 
 // New joins the parts. Zone is the relay's own; crossing is the fee for crossing zones; grouped,
