Relays that know of each other and keep a disk; the lab plays fleets of such machines

Change: internal/fleet joins store, peers and recovery without I/O (Core) and drives it on sockets and a folder (Run); operators' file [peers] and [disk], off by default; GET /_fleet and valeshift fleet; valelab fleet plays machines with a disk, an operators' file and a way of their own to every other; the simulation runs the same Core.

--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -23,6 +23,7 @@
 )
 
 type line struct {
+	Fleet   fleetCommand   `cmd:"" help:"Play it with machines: relay processes with disks, ways and clocks of their own, which know of each other."`
 	Sim     simCommand     `cmd:"" help:"Play an experiment file under virtual time: the real reducers on a simulated network."`
 	Load    loadCommand    `cmd:"" help:"Play it on loopback sockets: relay processes, stand-in servers and discovery."`
 	Hunt    huntCommand    `cmd:"" help:"Draw experiments over a range of seeds, check the rules on each, shrink what breaks one."`
@@ -281,6 +282,31 @@
 	return broken
 }
 
+type fleetCommand struct {
+	loadCommand
+}
+
+// Run plays the file with relays that know of each other and have disks, whatever it says of that, and keeps
+// their logs and disks.
+func (c *fleetCommand) Run(ctx context.Context) error {
+	x, err := experiment.Read(c.File)
+	if err != nil {
+		return err
+	}
+	x.Relays.Peers, x.Relays.Disk = true, true
+	if c.Logs == "" {
+		c.Logs = x.Name + ".machines"
+	}
+	if c.Relay == "" {
+		if c.Relay, err = program(""); err != nil {
+			return err
+		}
+		c.Relay += "-lab" // whose disk loses what was not synced
+	}
+	fmt.Printf("logs, operators' files and disks of the machines: %s\n", c.Logs)
+	return c.play(ctx, x)
+}
+
 //go:embed demo.toml
 var demo []byte
 
--- a/cmd/valeshift/main.go
+++ b/cmd/valeshift/main.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
@@ -12,8 +13,10 @@
 
 	"github.com/alecthomas/kong"
 
+	"valeshift/internal/fleet"
 	"valeshift/internal/operator"
 	"valeshift/internal/relay"
+	"valeshift/internal/store"
 )
 
 // line is the command line.
@@ -22,6 +25,7 @@
 
 	Run     runCommand     `cmd:"" default:"1" help:"Serve until SIGTERM (what is done with no arguments)."`
 	Check   checkCommand   `cmd:"" help:"Read all configuration and name the field that is wrong; start nothing."`
+	Fleet   fleetCommand   `cmd:"" help:"Ask relays what they keep and hear of each other."`
 	Version versionCommand `cmd:"" help:"Say which build this is."`
 }
 
@@ -58,6 +62,11 @@
 		}
 		debug.SetMemoryLimit(int64(told.MemoryMB * part * (1 << 20)))
 	}
+	mates, err := mates(told, file, log.Slog())
+	if err != nil {
+		log.Slog().Error("bad configuration", "err", err)
+		return err
+	}
 	again := func() (*relay.Told, func(), error) {
 		told, file, err := read(l, relay.ReadAgain)
 		if err != nil {
@@ -65,18 +74,40 @@
 		}
 		return told, func() { log.Change(file.Log) }, nil
 	}
-	err = relay.Serve(told, again, log.Slog(), signals.stop, signals.print, signals.reload)
+	err = relay.Serve(told, mates, again, log.Slog(), signals.stop, signals.print, signals.reload)
 	if err != nil {
 		log.Slog().Error("can't serve", "err", err)
 	}
 	return err
 }
 
+// mates is what the operators' file says of other relays and a disk; nil where it names neither.
+func mates(told *relay.Told, file *operator.File, log *slog.Logger) (relay.Mates, error) {
+	p := file.Peers
+	if p.Listen == "" && file.Disk.Folder == "" {
+		return nil, nil
+	}
+	var others *fleet.Peers
+	if p.Listen != "" {
+		others = &fleet.Peers{Listen: p.Listen, Zone: p.Zone, Region: p.Region, KeyFile: p.KeyFile, Seeds: p.Seeds,
+			Only: p.Only}
+	}
+	var disk store.FS
+	if file.Disk.Folder != "" {
+		disk = folder(file.Disk.Folder)
+	}
+	told.Besides = fleet.Files
+	return fleet.NewRun(told.Name, others, disk, file.Disk.MostMB<<20, log)
+}
+
 type checkCommand struct{}
 
 // Run checks what a start would, by the same steps.
 func (checkCommand) Run(l *line) error {
-	told, _, err := read(l, relay.ReadTold)
+	told, file, err := read(l, relay.ReadTold)
+	if err == nil {
+		_, err = mates(told, file, slog.New(slog.DiscardHandler))
+	}
 	if err == nil {
 		err = relay.Check(told)
 	}
--- /dev/null
+++ b/internal/fleet/core.go
@@ -0,0 +1,341 @@
+// Package fleet joins what one relay keeps on its disk, hears from others and decides at its start, and says it
+// to the relay as events. Core has all state and no I/O, so that the lab's simulation runs it unchanged; Run
+// drives it on sockets and a disk. Nothing of it lies on a link's path: the relay's lock is taken for one event
+// at a time, and no disk or peer is waited for under it.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"slices"
+
+	"valeshift/internal/peers"
+	"valeshift/internal/recovery"
+	"valeshift/internal/relay"
+	"valeshift/internal/store"
+)
+
+const (
+	keepEvery = 1000.0 // between two writings of what is known
+	rateOver  = 1000.0 // over which clients turned away are counted
+)
+
+// Act is something that Core asks for, one field at a time.
+type Act struct {
+	Send *peers.Datagram
+	Ask  *Question
+	Save *store.Record
+	Tell *relay.Event
+	Note string
+}
+
+// Question goes to one relay: Answered follows, whatever comes of it.
+type Question struct{ Name, Address string }
+
+// Core is one relay's side of the fleet.
+type Core struct {
+	peers    *peers.Peers // nil: none are named
+	plan     *recovery.Plan
+	phase    recovery.Phase
+	boot     uint64 // as it was saved
+	order    uint64
+	lame     bool
+	kept     *relay.Kept // the latest that is worth keeping
+	diskWhy  string
+	hasDisk  bool
+	seen     relay.Seen
+	turned   int // at the beginning of the second that is counted
+	turnedAt float64
+	waiting  int
+	keepAt   float64
+	read     bool
+}
+
+// New starts the relay's side: with others, where an own word is given that says where it hears them, and with
+// a disk, which is told of by Disk.
+func New(now float64, own peers.Word, seeds []string, key []byte, disk bool, chance *rand.Rand) *Core {
+	c := &Core{plan: recovery.New(now, disk, own.Address != ""), hasDisk: disk, turnedAt: now, keepAt: now + keepEvery,
+		kept: &relay.Kept{}, diskWhy: "being read"}
+	if !disk {
+		c.diskWhy = "none is named"
+	}
+	if own.Address != "" {
+		c.peers = peers.New(now, own, seeds, key, chance)
+	}
+	return c
+}
+
+// orderBody is an operators' order as it is kept.
+type orderBody struct {
+	Number uint64
+	Lame   bool
+}
+
+// Disk takes what the store had at the start, or why there is none. An order on it holds at once.
+func (c *Core) Disk(now float64, s *store.Store, found store.Found, err error) (acts []Act) {
+	d := recovery.Disk{}
+	if err != nil {
+		c.diskWhy, c.hasDisk, d.Why = err.Error(), false, err.Error()
+		return c.acts(c.plan.Read(now, d))
+	}
+	c.diskWhy, c.read = "", true
+	if found.Damaged > 0 || found.Torn > 0 {
+		c.diskWhy = fmt.Sprintf("%d damaged pieces passed over, %d bytes cut off", found.Damaged, found.Torn)
+		acts = append(acts, Act{Note: "disk: " + c.diskWhy})
+	}
+	c.boot = found.LastBoot + 1
+	if c.peers != nil {
+		c.peers.Above(found.LastBoot)
+		c.boot = c.peers.Own().Boot
+	}
+	acts = append(acts, c.saveBoot(now))
+	if r, there := s.Get(store.Order, ""); there {
+		var o orderBody
+		if json.Unmarshal(r.Body, &o) == nil && o.Number >= c.order {
+			acts = append(acts, c.follow(o.Number, o.Lame)...)
+		}
+	}
+	if r, there := s.Get(store.Knowing, ""); there {
+		if d.Kept, err = relay.ReadKept(r.Body); err != nil {
+			d.Kept, d.Why = nil, err.Error()
+		} else if c.kept.List == nil && c.kept.Capacity == 0 {
+			c.kept = d.Kept
+		}
+	}
+	return append(acts, c.acts(c.plan.Read(now, d))...)
+}
+
+func (c *Core) saveBoot(now float64) Act {
+	return Act{Save: &store.Record{Kind: store.Boot, Boot: c.boot, At: now, Body: []byte("x")}}
+}
+
+// follow has the relay be as the order of that number says.
+func (c *Core) follow(number uint64, lame bool) (acts []Act) {
+	changed := lame != c.lame
+	c.order, c.lame = number, lame
+	if c.peers != nil {
+		w := c.peers.Own()
+		w.Order, w.Lame = number, lame
+		c.peers.Say(w)
+	}
+	if changed {
+		acts = append(acts, Act{Tell: &relay.Event{Kind: relay.LameDuck, Off: !lame}})
+	}
+	return acts
+}
+
+// Order takes an operators' order, and gives its record; it is promised once that is durable.
+func (c *Core) Order(now float64, lame bool) (store.Record, []Act) {
+	number := c.order + 1
+	if c.peers != nil {
+		number = max(number, c.peers.Own().Order+1)
+	}
+	acts := c.follow(number, lame)
+	body, _ := json.Marshal(orderBody{number, lame}) // of plain values
+	return store.Record{Kind: store.Order, Boot: c.boot, At: now, Body: body}, acts
+}
+
+// Heard takes a datagram.
+func (c *Core) Heard(now float64, from string, data []byte) (acts []Act) {
+	if c.peers == nil {
+		return nil
+	}
+	for _, d := range c.peers.Take(now, from, data) {
+		acts = append(acts, Act{Send: &d})
+	}
+	return append(acts, c.own(now)...)
+}
+
+// own follows what others know of this relay: a boot above its own, an order later than its own.
+func (c *Core) own(now float64) (acts []Act) {
+	w := c.peers.Own()
+	if w.Boot > c.boot && c.read {
+		c.boot = w.Boot
+		acts = append(acts, c.saveBoot(now))
+	}
+	if w.Order > c.order || (w.Order == c.order && w.Lame && !c.lame) {
+		acts = append(acts, Act{Note: fmt.Sprintf("order %d, empty %t, as other relays remember it", w.Order, w.Lame)})
+		acts = append(acts, c.follow(w.Order, w.Lame)...)
+		body, _ := json.Marshal(orderBody{w.Order, w.Lame})
+		acts = append(acts, Act{Save: &store.Record{Kind: store.Order, Boot: c.boot, At: now, Body: body}})
+	}
+	return acts
+}
+
+// others are the relays that are heard now.
+func (c *Core) others(now float64) (all []recovery.Other, members []peers.Member) {
+	if c.peers == nil {
+		return nil, nil
+	}
+	members = c.peers.Members(now)
+	for _, m := range members {
+		if m.State == peers.Alive {
+			all = append(all, recovery.Other{Name: m.Name, Age: m.Age, Phase: recovery.Phase(m.Phase),
+				Waiting: m.Waiting, Links: m.Links})
+		}
+	}
+	return all, members
+}
+
+// Tick goes on, by what the relay itself sees.
+func (c *Core) Tick(now float64, seen relay.Seen) (acts []Act) {
+	if now >= c.turnedAt+rateOver {
+		c.waiting = int(float64(seen.Turned-c.turned) * 1000 / (now - c.turnedAt))
+		c.turned, c.turnedAt = seen.Turned, now
+	}
+	seen.Waiting = c.waiting
+	c.seen = seen
+	var others []recovery.Other
+	if c.plan.Phase() != recovery.Normal { // nobody looks at them else
+		others, _ = c.others(now)
+	}
+	acts = c.acts(c.plan.Look(now, others, seen))
+	if c.peers != nil {
+		w := c.peers.Own()
+		w.Phase, w.List = uint8(c.plan.Phase()), seen.Index
+		w.Waiting, w.Links = uint32(max(seen.Waiting, 0)), uint32(max(seen.Links, 0))
+		w.Order, w.Lame = c.order, c.lame
+		c.peers.Say(w)
+		for _, d := range c.peers.Tick(now) {
+			acts = append(acts, Act{Send: &d})
+		}
+	}
+	return acts
+}
+
+// Keeps tells whether what is known is to be written now.
+func (c *Core) Keeps(now float64) bool {
+	if now < c.keepAt || c.plan.Phase() < recovery.Admitting {
+		return false
+	}
+	c.keepAt = now + keepEvery
+	return true
+}
+
+// Keep takes what the relay knows now, and gives its record. What this life has not learnt yet is kept as it
+// was: against a relay that dies young leaving less than it was left.
+func (c *Core) Keep(now float64, k *relay.Kept) store.Record {
+	if k.List == nil || len(k.List.Entries) == 0 {
+		k.List, k.Told = c.kept.List, c.kept.Told
+	}
+	if k.Capacity == 0 {
+		k.Capacity, k.LoadMean, k.Categories = c.kept.Capacity, c.kept.LoadMean, c.kept.Categories
+	}
+	c.kept = k
+	text, _ := k.Text() // of plain values
+	return store.Record{Kind: store.Knowing, Boot: c.boot, At: now, Body: text}
+}
+
+// answer is what one relay says to another that asks.
+type answer struct {
+	Kept    *relay.Kept
+	ToldAgo float64
+}
+
+// Answer is what this relay has kept, for another; k is what it knows now.
+func (c *Core) Answer(now float64, k *relay.Kept) []byte {
+	a := answer{Kept: k, ToldAgo: -1}
+	if k.List != nil {
+		a.ToldAgo = max(now-k.Told, 0)
+	} else {
+		k.List = c.kept.List
+	}
+	if k.Capacity == 0 {
+		k.Capacity, k.LoadMean, k.Categories = c.kept.Capacity, c.kept.LoadMean, c.kept.Categories
+	}
+	k.Back = nil
+	text, _ := json.Marshal(a)
+	return text
+}
+
+// Answered takes what another relay said, or why nothing.
+func (c *Core) Answered(from string, text []byte, err error) {
+	var a struct {
+		Kept    json.RawMessage
+		ToldAgo float64
+	}
+	if err == nil {
+		err = json.Unmarshal(text, &a)
+	}
+	var k *relay.Kept
+	if err == nil {
+		k, err = relay.ReadKept(a.Kept)
+	}
+	if err != nil {
+		c.plan.Answered(recovery.Voice{From: from}, err.Error())
+		return
+	}
+	c.plan.Answered(recovery.Voice{From: from, Kept: k, ToldAgo: a.ToldAgo}, "")
+}
+
+// acts turns the plan's acts into those of the whole.
+func (c *Core) acts(all []recovery.Act) (acts []Act) {
+	for _, a := range all {
+		switch {
+		case a.Ask != "":
+			if m, there := c.member(a.Ask); there {
+				acts = append(acts, Act{Ask: &Question{a.Ask, c.peers.Reach(m)}})
+			}
+		case a.Tell != nil:
+			acts = append(acts, Act{Tell: a.Tell})
+		case a.Note != "":
+			acts = append(acts, Act{Note: a.Note})
+		}
+	}
+	return acts
+}
+
+func (c *Core) member(name string) (peers.Member, bool) {
+	_, members := c.others(c.seen.Now)
+	i := slices.IndexFunc(members, func(m peers.Member) bool { return m.Name == name })
+	if i < 0 {
+		return peers.Member{}, false
+	}
+	return members[i], true
+}
+
+// Status is what operators are told: `valeshift fleet` shows it.
+type Status struct {
+	Recovery recovery.Status
+	Boot     uint64
+	Order    uint64
+	Lame     bool
+	Disk     string // what is wrong with it; empty: nothing
+	Waiting  int
+	Links    int
+	Cold     int // servers, of those that can be used
+	Usable   int
+	Twin     bool // another process serves under this relay's name
+	Members  []MemberStatus
+	Wire     peers.Counts
+}
+
+// MemberStatus is another relay as this one sees it.
+type MemberStatus struct {
+	Name, Zone, Region, State, Phase string
+	Boot, List                       uint64
+	Age, Quiet                       float64 // ms since its start, and since news of it
+	Waiting, Links                   uint32
+	Lame                             bool
+}
+
+const twinFor = 10000.0
+
+// Status is how things stand.
+func (c *Core) Status(now float64) Status {
+	s := Status{Recovery: c.plan.Status(now), Boot: c.boot, Order: c.order, Lame: c.lame, Disk: c.diskWhy,
+		Waiting: c.seen.Waiting, Links: c.seen.Links, Cold: c.seen.Cold, Usable: c.seen.Usable}
+	if c.peers == nil {
+		return s
+	}
+	s.Boot, s.Wire = c.peers.Own().Boot, c.peers.Counts
+	s.Twin = c.peers.Twin > 0 && now < c.peers.Twin+twinFor
+	_, members := c.others(now)
+	for _, m := range members {
+		s.Members = append(s.Members, MemberStatus{Name: m.Name, Zone: m.Zone, Region: m.Region,
+			State: m.State.String(), Phase: recovery.Phase(min(m.Phase, uint8(recovery.Normal))).String(), Boot: m.Boot,
+			List: m.List, Age: m.Age, Quiet: now - m.Heard, Waiting: m.Waiting, Links: m.Links, Lame: m.Lame})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/run.go
@@ -0,0 +1,384 @@
+package fleet
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	mathrand "math/rand"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"valeshift/internal/peers"
+	"valeshift/internal/relay"
+	"valeshift/internal/store"
+)
+
+const (
+	tickEvery  = 50 * time.Millisecond
+	askTime    = 500 * time.Millisecond // for another relay's whole answer
+	mostAnswer = 8 << 20
+	mostAskers = 8 // at once
+	orderTime  = time.Second
+	diskRetry  = 2 * time.Second
+	leastKey   = 16
+	nonce      = 16
+	// Files is how many descriptors all of it may hold.
+	Files = 2 + mostAskers + 4 + 4 // both sockets, those who ask, those asked, the disk's
+)
+
+// Peers is where others are, as the operators' file says.
+type Peers struct {
+	Listen, Zone, Region, KeyFile string
+	Seeds                         []string
+	Only                          bool // others are reached by the seeds' addresses alone
+}
+
+// Run is one relay's side of the fleet, on sockets and a disk.
+type Run struct {
+	log   *slog.Logger
+	name  string
+	peers Peers
+	key   []byte
+	fs    store.FS // nil: no disk
+	most  int
+	base  time.Time
+	ms    float64
+
+	tell func(relay.Event)
+	seen func() relay.Seen
+	kept func() *relay.Kept
+
+	mutex sync.Mutex // over core; never held while the relay, a peer or the disk is waited for
+	core  *Core
+	udp   *net.UDPConn
+	tcp   net.Listener
+
+	disk  sync.Mutex // over store
+	store *store.Store
+	dirty chan struct{}
+	ended chan struct{}
+	done  sync.WaitGroup
+}
+
+// NewRun takes the relay's name, where others are (nil: none) and the folder that it may keep up to most bytes
+// in (nil: none).
+func NewRun(name string, others *Peers, fs store.FS, most int, log *slog.Logger) (*Run, error) {
+	r := &Run{log: log, name: name, fs: fs, most: most, dirty: make(chan struct{}, 1), ended: make(chan struct{})}
+	if others != nil {
+		r.peers = *others
+		key, err := ReadKey(others.KeyFile)
+		if err != nil {
+			return nil, err
+		}
+		r.key = key
+	}
+	return r, nil
+}
+
+// ReadKey reads the key that all relays of a fleet share.
+func ReadKey(path string) ([]byte, error) {
+	key, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("peers.key-file: %w", err)
+	}
+	if len(key) < leastKey {
+		return nil, fmt.Errorf("peers.key-file: %d bytes or more expected, got %d", leastKey, len(key))
+	}
+	return key, nil
+}
+
+func (r *Run) now() float64 {
+	return r.ms + float64(time.Since(r.base))/float64(time.Millisecond)
+}
+
+// Start begins: tell gives the relay an event, seen and kept ask it how it fares and what it knows.
+func (r *Run) Start(now float64, tell func(relay.Event), seen func() relay.Seen, kept func() *relay.Kept) error {
+	r.base, r.ms, r.tell, r.seen, r.kept = time.Now(), now, tell, seen, kept
+	var lot [16]byte
+	if _, err := rand.Read(lot[:]); err != nil {
+		return err
+	}
+	own := peers.Word{Name: r.name, Zone: r.peers.Zone, Region: r.peers.Region, Address: r.peers.Listen,
+		Life: binary.LittleEndian.Uint64(lot[:])}
+	chance := mathrand.New(mathrand.NewSource(int64(binary.LittleEndian.Uint64(lot[8:]))))
+	if own.Address != "" {
+		at, err := net.ResolveUDPAddr("udp", own.Address)
+		if err != nil {
+			return fmt.Errorf("peers.listen: %w", err)
+		}
+		if r.udp, err = net.ListenUDP("udp", at); err != nil {
+			return fmt.Errorf("peers.listen: %w", err)
+		}
+		if r.tcp, err = net.Listen("tcp", own.Address); err != nil {
+			r.udp.Close()
+			return fmt.Errorf("peers.listen: %w", err)
+		}
+	}
+	r.core = New(now, own, r.peers.Seeds, r.key, r.fs != nil, chance)
+	if r.core.peers != nil {
+		r.core.peers.Only = r.peers.Only
+	}
+	tell(relay.Event{Kind: relay.Restarted})
+	r.goes(r.ticks)
+	if r.udp != nil {
+		r.goes(r.hears)
+		r.goes(r.isAsked)
+	}
+	if r.fs != nil {
+		r.goes(r.keeps)
+	}
+	return nil
+}
+
+func (r *Run) goes(do func()) {
+	r.done.Add(1)
+	go func() { defer r.done.Done(); do() }()
+}
+
+// Stop ends it; what is known is written once more.
+func (r *Run) Stop() {
+	close(r.ended)
+	if r.udp != nil {
+		r.udp.Close()
+		r.tcp.Close()
+	}
+	r.done.Wait()
+}
+
+// with has the core take something and does what follows.
+func (r *Run) with(do func(c *Core) []Act) {
+	r.mutex.Lock()
+	acts := do(r.core)
+	r.mutex.Unlock()
+	for _, a := range acts {
+		switch {
+		case a.Send != nil:
+			if to, err := net.ResolveUDPAddr("udp", a.Send.To); err == nil {
+				r.udp.WriteToUDP(a.Send.Data, to) // what is lost is said again
+			}
+		case a.Ask != nil:
+			question := *a.Ask
+			r.goes(func() { r.asks(question) })
+		case a.Save != nil:
+			r.save(*a.Save, nil)
+		case a.Tell != nil:
+			r.tell(*a.Tell)
+		case a.Note != "":
+			r.log.Info("fleet", "what", a.Note)
+		}
+	}
+}
+
+func (r *Run) ticks() {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-r.ended:
+			return
+		case <-tick.C:
+			seen := r.seen()
+			r.with(func(c *Core) []Act { return c.Tick(r.now(), seen) })
+		}
+	}
+}
+
+func (r *Run) hears() {
+	buffer := make([]byte, 2048)
+	for {
+		n, from, err := r.udp.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			r.with(func(c *Core) []Act { return c.Heard(r.now(), from.String(), buffer[:n]) })
+		}
+	}
+}
+
+// isAsked answers others with what is kept. Against some that hang: so many at once, each for a bounded time.
+func (r *Run) isAsked() {
+	room := make(chan struct{}, mostAskers)
+	for {
+		conn, err := r.tcp.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(tickEvery)
+			continue
+		}
+		select {
+		case room <- struct{}{}:
+			r.goes(func() {
+				defer func() { conn.Close(); <-room }()
+				conn.SetDeadline(time.Now().Add(askTime))
+				r.answers(conn)
+			})
+		default:
+			conn.Close()
+		}
+	}
+}
+
+// answers reads a sealed nonce and writes what is kept, sealed behind it: an answer is to one question only.
+func (r *Run) answers(conn net.Conn) {
+	question := make([]byte, nonce+32)
+	if _, err := io.ReadFull(conn, question); err != nil {
+		return
+	}
+	asked, err := peers.Open(r.key, question)
+	if err != nil {
+		return
+	}
+	k := r.kept()
+	r.mutex.Lock()
+	text := r.core.Answer(r.now(), k)
+	r.mutex.Unlock()
+	conn.Write(peers.Seal(r.key, append(asked, text...)))
+	conn.(*net.TCPConn).CloseWrite()
+}
+
+func (r *Run) asks(q Question) {
+	text, err := r.ask(q.Address)
+	r.with(func(c *Core) []Act { c.Answered(q.Name, text, err); return nil })
+}
+
+func (r *Run) ask(address string) ([]byte, error) {
+	conn, err := net.DialTimeout("tcp", address, askTime)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(askTime))
+	var own [nonce]byte
+	if _, err := rand.Read(own[:]); err != nil {
+		return nil, err
+	}
+	if _, err := conn.Write(peers.Seal(r.key, own[:])); err != nil {
+		return nil, err
+	}
+	sealed, err := io.ReadAll(io.LimitReader(conn, mostAnswer))
+	if err != nil {
+		return nil, err
+	}
+	body, err := peers.Open(r.key, sealed)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) < nonce || [nonce]byte(body) != own {
+		return nil, errors.New("an answer to another question")
+	}
+	return body[nonce:], nil
+}
+
+// save has a record written; done is told once it is durable, or why it is not.
+func (r *Run) save(record store.Record, done func(error)) {
+	r.disk.Lock()
+	s := r.store
+	r.disk.Unlock()
+	if s == nil {
+		if done != nil {
+			done(errors.New("there is no disk to keep it on"))
+		}
+		return
+	}
+	s.Put(record, done)
+	select {
+	case r.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// keeps reads the disk, however long that takes, and writes what is put from then on.
+func (r *Run) keeps() {
+	s, found, err := store.Open(r.fs, r.name, r.most)
+	if err == nil {
+		r.disk.Lock()
+		r.store = s
+		r.disk.Unlock()
+	} else {
+		r.log.Error("the disk can't be used, and nothing is kept", "err", err)
+	}
+	r.with(func(c *Core) []Act { return c.Disk(r.now(), s, found, err) })
+	if err != nil {
+		return
+	}
+	defer func() {
+		r.keep(s)
+		if err := s.Close(); err != nil {
+			r.log.Warn("disk", "err", err)
+		}
+	}()
+	look := time.NewTicker(10 * tickEvery)
+	defer look.Stop()
+	var failed time.Time
+	for {
+		select {
+		case <-r.ended:
+			return
+		case <-r.dirty:
+		case <-look.C:
+			r.mutex.Lock()
+			due := r.core.Keeps(r.now())
+			r.mutex.Unlock()
+			if due {
+				r.keep(s)
+			}
+		}
+		if time.Since(failed) < diskRetry {
+			continue
+		}
+		if err := s.Flush(); err != nil {
+			failed = time.Now()
+			r.log.Warn("disk: nothing is kept for now", "err", err)
+		}
+	}
+}
+
+func (r *Run) keep(s *store.Store) {
+	k := r.kept()
+	r.mutex.Lock()
+	record := r.core.Keep(r.now(), k)
+	r.mutex.Unlock()
+	s.Put(record, func(err error) {
+		if errors.Is(err, store.ErrFull) {
+			r.log.Warn("disk: more is known than it may hold", "bytes", len(record.Body))
+		}
+	})
+}
+
+// Order takes an operators' order. It is answered once it is durable, where there is a disk; without one, or
+// where that fails, it holds all the same and the error says so.
+func (r *Run) Order(lame bool) error {
+	r.mutex.Lock()
+	record, acts := r.core.Order(r.now(), lame)
+	r.mutex.Unlock()
+	r.with(func(*Core) []Act { return acts })
+	if r.fs == nil {
+		return nil
+	}
+	durable := make(chan error, 1)
+	r.save(record, func(err error) { durable <- err })
+	select {
+	case err := <-durable:
+		if err != nil {
+			return fmt.Errorf("it holds until the next start, as the disk did not keep it: %w", err)
+		}
+		return nil
+	case <-time.After(orderTime):
+		return errors.New("it holds, and the disk has not kept it yet")
+	}
+}
+
+// Status is what operators are told.
+func (r *Run) Status() any {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.core.Status(r.now())
+}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -56,6 +56,8 @@
 	Tries       int  `toml:"most-setup-tries"`
 	MaxBack     Span `toml:"max-retry-after"` // the longest time to come back that is told; 0: none
 	Probes      bool `toml:"probes"`
+	Peers       bool `toml:"peers"` // whether relays know of each other
+	Disk        bool `toml:"disk"`  // whether each has a disk
 	Known       bool `toml:"known"` // whether the platform gives a relay the list as it last had it
 }
 
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -50,6 +50,7 @@
 	Logs   string
 	Memory map[int]int64 // of each relay at the end, bytes resident
 	CPU    map[int]float64
+	Fleet  map[int][]byte // what each relay says of the others, as JSON
 }
 
 // Run is one run on sockets.
@@ -68,19 +69,21 @@
 
 // process is one relay, in all its lives.
 type process struct {
-	number  int
-	address string
-	lists   [2]string // addresses of its discovery
-	using   int
-	cmd     *exec.Cmd
-	alive   bool
-	turn    int
-	log     *os.File
-	socket  *os.File  // the clients', held here where a process can be replaced; else nil
-	elder   *exec.Cmd // while it is being replaced
-	ops     string    // where operators call
-	known   []byte    // what the platform keeps of the list for it
-	early   string    // why it ended before the run began
+	number   int
+	address  string
+	lists    [2]string // addresses of its discovery
+	using    int
+	cmd      *exec.Cmd
+	alive    bool
+	turn     int
+	log      *os.File
+	socket   *os.File  // the clients', held here where a process can be replaced; else nil
+	elder    *exec.Cmd // while it is being replaced
+	ops      string    // where operators call
+	known    []byte    // what the platform keeps of the list for it
+	early    string    // why it ended before the run began
+	disk     string    // its folder; empty: none
+	operator string    // its operators' file; empty: none
 }
 
 // Play plays an experiment with relays of that program; files and logs go to dir.
@@ -106,6 +109,11 @@
 			return nil, err
 		}
 		addresses = append(addresses, p.address)
+	}
+	if err := r.mates(); err != nil {
+		return nil, err
+	}
+	for _, p := range r.relays {
 		if err := r.launch(p); err != nil {
 			return nil, err
 		}
@@ -118,6 +126,7 @@
 	r.mutex.Lock()
 	r.world.Tally.Start = r.now()
 	r.world.Begin(addresses)
+	r.after(float64(x.Warm)/2, r.early)
 	r.mutex.Unlock()
 	if err := sleep(ctx, time.Duration(float64(x.Length)*float64(time.Millisecond))); err != nil {
 		return nil, err
@@ -128,6 +137,7 @@
 			result.CPU[p.number], result.Memory[p.number] = proc.Usage(p.cmd.Process.Pid)
 		}
 	}
+	result.Fleet = r.fleets()
 	r.mutex.Lock()
 	r.world.Crowd.Close()
 	r.mutex.Unlock()
@@ -207,9 +217,6 @@
 	}
 }
 
-// Disk does nothing: no relay keeps anything.
-func (r *Run) Disk(int, string) {}
-
 // Way sets what lies between two machines in that direction.
 func (r *Run) Way(from, to int, way experiment.Way) {
 	r.ways[[2]int{from, to}] = way
@@ -255,7 +262,7 @@
 func (r *Run) launch(p *process) error {
 	p.turn++
 	var err error
-	if p.ops, err = proc.Free(); err != nil {
+	if p.ops, err = proc.FreeOn(r.home(p.number)); err != nil {
 		return err
 	}
 	if err := r.configure(p); err != nil {
@@ -263,7 +270,8 @@
 	}
 	p.cmd = exec.Command(r.binary)
 	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+r.file(p), "RELAY_NAME=", "RELAY_LISTEN=",
-		"RELAY_DISCOVERY=", "RELAY_OPS=")
+		"RELAY_DISCOVERY=", "RELAY_OPS=",
+		"VALESHIFT_OPERATOR="+p.operator)
 	if p.socket != nil {
 		p.cmd.ExtraFiles = []*os.File{p.socket}
 		p.cmd.Env = append(p.cmd.Env, "RELAY_SOCKET_FD=3", "TMPDIR="+r.shared(p))
--- /dev/null
+++ b/internal/lab/live/mates.go
@@ -0,0 +1,153 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"valeshift/internal/lab/experiment"
+	"valeshift/internal/lab/proc"
+	"valeshift/internal/lab/spoiled"
+	"valeshift/internal/lab/way"
+)
+
+const lockFile = "lock" // the store's
+
+// mates gives the machines their sides of the fleet: an operators' file each, with a folder as its disk and a
+// way of its own to every other.
+func (r *Run) mates() error {
+	x := r.x
+	if !x.Relays.Peers && !x.Relays.Disk {
+		return nil
+	}
+	key := filepath.Join(r.dir, "key")
+	if err := os.WriteFile(key, []byte("the key of the lab's fleet"), 0o600); err != nil {
+		return err
+	}
+	hears := make([]string, len(r.relays))
+	for i := range r.relays {
+		var err error
+		if hears[i], err = proc.FreeOn(r.home(i)); err != nil {
+			return err
+		}
+	}
+	for i, p := range r.relays {
+		text := "[log]\nlevel = \"info\"\n"
+		if x.Relays.Peers {
+			var seeds []string
+			for j, to := range hears {
+				if j == i {
+					continue
+				}
+				w, err := way.New(r.home(i), to, x.Chance("way", 1000*(i+1)+j))
+				if err != nil {
+					return err
+				}
+				context.AfterFunc(r.ctx, w.Close)
+				r.forwards[[2]int{i, j}] = append(r.forwards[[2]int{i, j}], w)
+				seeds = append(seeds, fmt.Sprintf("%q", w.Address))
+			}
+			text += fmt.Sprintf("[peers]\nlisten = %q\nkey-file = %q\nzone = %q\nseeds = [%s]\nseeds-only = true\n", hears[i],
+				key, experiment.Zone(i%x.Fleet.Zones), strings.Join(seeds, ", "))
+		}
+		if x.Relays.Disk {
+			p.disk = filepath.Join(r.dir, fmt.Sprintf("disk-%d", i))
+			if err := os.MkdirAll(p.disk, 0o700); err != nil {
+				return err
+			}
+			text += fmt.Sprintf("[disk]\nfolder = %q\n", p.disk)
+		}
+		p.operator = filepath.Join(r.dir, fmt.Sprintf("operator-%d.toml", i))
+		if err := os.WriteFile(p.operator, []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// early keeps a copy of each disk, for machines that come back with an older one.
+func (r *Run) early() {
+	for _, p := range r.relays {
+		if p.disk != "" {
+			copyDisk(p.disk, p.disk+".older")
+		}
+	}
+}
+
+func copyDisk(from, to string) {
+	os.RemoveAll(to)
+	os.MkdirAll(to, 0o700)
+	for _, name := range files(from) {
+		if data, err := os.ReadFile(filepath.Join(from, name)); err == nil {
+			os.WriteFile(filepath.Join(to, name), data, 0o600)
+		}
+	}
+}
+
+// files are those of a disk, but for its lock and the lab's own.
+func files(disk string) (names []string) {
+	all, _ := os.ReadDir(disk)
+	for _, e := range all {
+		if e.Name() != lockFile && e.Name() != spoiled.Faults {
+			names = append(names, e.Name())
+		}
+	}
+	return names
+}
+
+// Disk does something to the disk of a relay that is down.
+func (r *Run) Disk(i int, what string) {
+	p := r.relays[i]
+	if p.disk == "" {
+		return
+	}
+	chance := rand.New(rand.NewSource(r.x.Chance("disk", 1000*i+p.turn).Int63()))
+	os.WriteFile(filepath.Join(p.disk, spoiled.Faults), []byte(what), 0o600)
+	each := func(change func(data []byte) []byte) {
+		for _, name := range files(p.disk) {
+			path := filepath.Join(p.disk, name)
+			if data, err := os.ReadFile(path); err == nil && len(data) > 0 {
+				os.WriteFile(path, change(data), 0o600)
+			}
+		}
+	}
+	switch what {
+	case "wiped":
+		for _, name := range files(p.disk) {
+			os.Remove(filepath.Join(p.disk, name))
+		}
+	case "torn":
+		each(func(data []byte) []byte { return data[:chance.Intn(len(data))] })
+	case "flipped":
+		each(func(data []byte) []byte {
+			for range 8 {
+				data[chance.Intn(len(data))] ^= 1 << chance.Intn(8)
+			}
+			return data
+		})
+	case "older":
+		copyDisk(p.disk+".older", p.disk)
+	case "another's":
+		copyDisk(r.relays[(i+1)%len(r.relays)].disk, p.disk)
+	}
+}
+
+// fleets asks each relay that lives what it keeps and hears, at the end of a run.
+func (r *Run) fleets() map[int][]byte {
+	all := map[int][]byte{}
+	for _, p := range r.relays {
+		if !p.alive || p.operator == "" {
+			continue
+		}
+		if answer, err := http.Get("http://" + p.ops + "/_fleet"); err == nil {
+			all[p.number], _ = io.ReadAll(answer.Body)
+			answer.Body.Close()
+		}
+	}
+	return all
+}
--- a/internal/lab/sim/relay.go
+++ b/internal/lab/sim/relay.go
@@ -40,6 +40,7 @@
 	taking bool
 	due    []relay.Event
 
+	mates  *mates   // nil: it keeps nothing and knows no other
 	beside *process // another process on the same socket
 	holds  bool
 	left   *relay.Handover
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -13,6 +13,7 @@
 	"valeshift/internal/lab/model"
 	"valeshift/internal/relay"
 	"valeshift/internal/settings"
+	"valeshift/internal/store"
 	"valeshift/logic"
 )
 
@@ -42,6 +43,7 @@
 	known   []*relay.News
 	past    []relay.Counters // of lives that are over
 	ways    map[[2]int]experiment.Way
+	disks   []*disk
 	// Spoil, where set, puts something between the network and a relay's reducer: for tests of the auditor.
 	Spoil func(relay int, brain Brain) Brain
 }
@@ -75,12 +77,18 @@
 		addresses = append(addresses, d.address)
 		s.relays = append(s.relays, &process{node: d, over: true})
 		s.reducer, s.lives = append(s.reducer, nil), append(s.lives, 0)
+		s.disks = append(s.disks, &disk{memory: store.NewMemory()})
 		s.known, s.past = append(s.known, s.keeps()), append(s.past, relay.Counters{})
 		if err := s.start(i); err != nil {
 			return nil, err
 		}
 	}
 	s.world.Begin(addresses)
+	s.net.after(float64(x.Warm)/2, func() {
+		for _, d := range s.disks {
+			d.older = d.memory.Copy()
+		}
+	})
 	s.net.run(start + float64(x.Length))
 	s.world.Crowd.Close()
 	s.net.run(start + float64(x.Length) + settle)
@@ -105,6 +113,7 @@
 	s.relays[i] = p
 	p.listens()
 	p.take(relay.Event{Kind: relay.Tick})
+	s.join(i, p)
 	return nil
 }
 
@@ -274,6 +283,7 @@
 	s.past[i], s.known[i] = s.reducer[i].Counters, s.keeps()
 	p := s.relays[i]
 	p.stop(true)
+	s.lose(i)
 	if p.beside != nil && !p.beside.over {
 		p.beside.stop(true)
 	}
@@ -287,9 +297,6 @@
 	}
 }
 
-// Disk does nothing: no relay keeps anything.
-func (s *Sim) Disk(int, string) {}
-
 // Way sets what lies between two machines in that direction.
 func (s *Sim) Way(from, to int, way experiment.Way) {
 	s.ways[[2]int{from, to}] = way
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"os"
 	"strings"
 
@@ -17,9 +18,64 @@
 
 // File is all that the file can say. Later parts add sections.
 type File struct {
-	Log Log `toml:"log"`
+	Log   Log   `toml:"log"`
+	Peers Peers `toml:"peers"`
+	Disk  Disk  `toml:"disk"`
 }
 
+// Peers says where this relay hears the others of its fleet; without an address it knows of none.
+type Peers struct {
+	Listen  string   `toml:"listen"` // address:port, UDP and TCP, as the others reach it
+	Seeds   []string `toml:"seeds"`  // of some that are there as a rule
+	Zone    string   `toml:"zone"`
+	Region  string   `toml:"region"`
+	Only    bool     `toml:"seeds-only"` // others are reached by the seeds' addresses alone, never by those they tell
+	KeyFile string   `toml:"key-file"`   // whose text all relays of the fleet share
+}
+
+// Disk says where this relay keeps what outlives it; without a folder it keeps nothing.
+type Disk struct {
+	Folder string `toml:"folder"`
+	MostMB int    `toml:"most-mb"`
+}
+
+const mostMB = 64
+
+// complete fills in and checks what the sections say, field by field.
+func (f *File) complete() error {
+	p := &f.Peers
+	for i, address := range append([]string{p.Listen}, p.Seeds...) {
+		field := "peers.listen"
+		if i > 0 {
+			field = fmt.Sprintf("peers.seeds.%d", i-1)
+		}
+		at, err := netip.ParseAddrPort(address)
+		if address != "" && (err != nil || at.Port() == 0) || address == "" && i > 0 {
+			return fmt.Errorf("%s: address:port expected, got %q", field, address)
+		}
+	}
+	if p.Listen == "" && (len(p.Seeds) > 0 || p.KeyFile != "") {
+		return errors.New("peers.listen: address:port expected, as other relays are named, got nothing")
+	}
+	if p.Listen != "" && p.KeyFile == "" {
+		return errors.New("peers.key-file: the path of a file expected, got nothing")
+	}
+	for _, name := range []struct{ field, value string }{{"peers.zone", p.Zone}, {"peers.region", p.Region}} {
+		if len(name.value) > mostName {
+			return fmt.Errorf("%s: %d bytes at the most expected, got %d", name.field, mostName, len(name.value))
+		}
+	}
+	if f.Disk.MostMB < 0 {
+		return fmt.Errorf("disk.most-mb: no less than 0 expected, got %d", f.Disk.MostMB)
+	}
+	if f.Disk.Folder != "" && f.Disk.MostMB == 0 {
+		f.Disk.MostMB = mostMB
+	}
+	return nil
+}
+
+const mostName = 64
+
 // Log says what is logged to standard error, and how.
 type Log struct {
 	Format Format     `toml:"format"`
@@ -74,6 +130,9 @@
 	if err := Strict(text, f); err != nil {
 		return nil, err
 	}
+	if err := f.complete(); err != nil {
+		return nil, fmt.Errorf(" %w", err)
+	}
 	return f, nil
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -26,6 +26,13 @@
 		{"[log]\nlevel = \"loud\"\n", Log{}, "2:9: log.level: "},
 		{"[log]\nlevel = \"info\"\nsource = 3\n", Log{}, "3:10: log.source: "},
 		{"[log\n", Log{}, "1:5: "},
+		{"[peers]\nlisten = \"127.0.0.1:7000\"\nkey-file = \"k\"\n[disk]\nfolder = \"d\"\n", Log{}, ""},
+		{"[peers]\nlisten = \"here\"\n", Log{}, "peers.listen: address:port expected, got \"here\""},
+		{"[peers]\nlisten = \"127.0.0.1:7000\"\n", Log{}, "peers.key-file: the path of a file expected"},
+		{"[peers]\nseeds = [\"127.0.0.1:7000\"]\n", Log{}, "peers.listen: address:port expected, as"},
+		{"[peers]\nlisten = \"127.0.0.1:7000\"\nkey-file = \"k\"\nseeds = [\"127.0.0.1:1\", \"x\"]\n", Log{},
+			"peers.seeds.1: address:port expected, got \"x\""},
+		{"[disk]\nmost-mb = -1\n", Log{}, "disk.most-mb: no less than 0 expected, got -1"},
 	} {
 		f, err := Parse([]byte(c.text))
 		if c.err != "" {
@@ -42,6 +49,7 @@
 func TestRead(t *testing.T) {
 	f, err := Read("../../deploy/operator.toml")
 	require.NoError(t, err)
+	f.Peers.Seeds = nil // an empty one in the file
 	assert.Equal(t, Default(), f)
 	f, err = Read("")
 	require.NoError(t, err)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -4,6 +4,7 @@
 package ops
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -34,6 +35,8 @@
 	Figures() []Figure
 	// LameDuck empties the relay, or takes it back to work; an error says why that can't be.
 	LameDuck(on bool) error
+	// Fleet is what the relay keeps and hears of others, to be told as JSON; nil where it does neither.
+	Fleet() any
 }
 
 // Serve answers calls at the listener until that is closed.
@@ -65,6 +68,15 @@
 			fmt.Fprintf(w, "relay.%s:%d|%s\n", f.Name, f.Value, kind)
 		}
 	})
+	calls.HandleFunc("GET /_fleet", func(w http.ResponseWriter, r *http.Request) {
+		status := relay.Fleet()
+		if status == nil {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(status)
+	})
 	for word, on := range map[string]bool{"on": true, "off": false} {
 		calls.HandleFunc("POST /_lameduck/"+word, func(w http.ResponseWriter, _ *http.Request) {
 			if err := relay.LameDuck(on); err != nil {
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -32,6 +32,13 @@
 	return nil
 }
 
+func (s *stub) Fleet() any {
+	if s.lame.Load() {
+		return nil
+	}
+	return map[string]int{"Boot": 3}
+}
+
 func serve(t *testing.T) (*stub, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -102,6 +102,7 @@
 	backs   float64    // answers left
 	backsAt float64
 	Counts  Counts
+	Only    bool    // others are reached by the seeds' addresses alone
 	Twin    float64 // when another process under this relay's name was last heard; 0: never
 }
 
@@ -122,6 +123,16 @@
 	p.own = w
 }
 
+// Above takes the boot that the disk had, as it is read later than the first word may go out.
+func (p *Peers) Above(boot uint64) {
+	if boot >= p.own.Boot {
+		p.own.Boot, p.own.Beat = boot+1, 0
+	}
+}
+
+// Reach is where a member can be reached; empty: nowhere.
+func (p *Peers) Reach(m Member) string { return p.address(&m) }
+
 // Next is when Tick is due.
 func (p *Peers) Next() float64 { return p.next }
 
@@ -185,9 +196,9 @@
 	var lives, gone, mute []string
 	for _, n := range p.names {
 		if m := p.members[n]; p.state(now, m) != Gone {
-			lives = append(lives, m.address())
+			lives = append(lives, p.address(m))
 		} else {
-			gone = append(gone, m.address())
+			gone = append(gone, p.address(m))
 		}
 	}
 	for _, s := range p.seeds {
@@ -210,7 +221,12 @@
 	return to
 }
 
-func (m *Member) address() string { return cmp.Or(m.bound, m.Address) }
+func (p *Peers) address(m *Member) string {
+	if p.Only {
+		return m.bound
+	}
+	return cmp.Or(m.bound, m.Address)
+}
 
 // frame is one datagram: this relay's word, and as many others as there is room for, the latest news first.
 func (p *Peers) frame(now float64, to string, asks bool) Datagram {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -23,6 +23,7 @@
 	Seed                    uint64
 	Cores, MemoryMB         float64
 	Sockets                 int
+	Besides                 int // descriptors that are needed besides, for the disk and other relays
 	Known                   *News
 	Settings                map[string]string
 
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -86,9 +86,21 @@
 func (c calls) LameDuck(on bool) error {
 	c.take(Event{Kind: LameDuck, Off: !on})
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if !on && c.reducer.stopping {
+	stopping := !on && c.reducer.stopping
+	c.mutex.Unlock()
+	if stopping {
 		return errStopping
 	}
+	if c.mates != nil {
+		return c.mates.Order(on)
+	}
 	return nil
 }
+
+// Fleet is what is kept and heard of others; nil where nothing is.
+func (c calls) Fleet() any {
+	if c.mates == nil {
+		return nil
+	}
+	return c.mates.Status()
+}
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -42,6 +42,7 @@
 	Adopt                  // the elder process passes a standing link, Passed, its client to be Conn
 	Reload                 // the file was read again
 	Recalled               // what is known from before the start, here or at other relays, is Kept
+	Restarted              // another life of this relay may have served until just now
 	Recovers               // the whole fleet lost power and recovers, or (Off) has recovered
 )
 
@@ -279,6 +280,7 @@
 	r.answers = make([]answers, len(r.limits))
 	if t.Sockets > 0 {
 		r.reserve = spareFiles
+		r.reserve += t.Besides
 		if t.Ops != "" {
 			r.reserve += ops.Files
 		}
@@ -351,6 +353,8 @@
 		r.reload(e)
 	case Recalled:
 		r.recall(e.Kept)
+	case Restarted:
+		r.table.Balancer.Restart(r.now)
 	case Recovers:
 		r.recovers(!e.Off, e.Part)
 	}
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -70,6 +70,7 @@
 	parts   [][]byte
 	quit    chan struct{}
 	board   *board // where operators call; else nil
+	mates   Mates  // nil: this relay keeps nothing and knows no other
 
 	listener *net.TCPListener
 	seat     *handover.Seat // among the processes of this relay; nil: there can be no other
@@ -81,9 +82,19 @@
 	besides  Event   // who was there at the last look
 }
 
-// Serve runs the relay until it has stopped. Again reads anew what the relay is told, and gives what is to be
+// Mates is what this relay keeps and hears from others. Of what is told, nothing may wait for any of them.
+type Mates interface {
+	// Start begins: tell gives the relay an event, seen and kept ask it how it fares and what it knows.
+	Start(now float64, tell func(Event), seen func() Seen, kept func() *Kept) error
+	// Order takes an operators' order to empty the relay, or take it back to work; an error says what is missing.
+	Order(lame bool) error
+	Status() any
+	Stop()
+}
+
+// Serve runs the relay until it has stopped, with its mates where it has some. Again reads anew what the relay is told, and gives what is to be
 // done besides once that is found to be right as a whole; stop, print and reload bring the signals.
-func Serve(t *Told, again func() (*Told, func(), error), log *slog.Logger,
+func Serve(t *Told, mates Mates, again func() (*Told, func(), error), log *slog.Logger,
 	stop, print, reload <-chan struct{}) error {
 	now := time.Now()
 	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
@@ -123,6 +134,12 @@
 		s.said(s.seat.Takes(s.adopt))
 	}
 	s.take(Event{Kind: Tick})
+	if s.mates = mates; mates != nil {
+		if err := mates.Start(s.now(), s.take, s.looks, s.keeps); err != nil {
+			return err
+		}
+		defer mates.Stop()
+	}
 	go s.accept()
 	log.Info("serving", "name", t.Name, "listen", s.listener.Addr().String(), "backends", len(t.Known.Entries))
 	var look <-chan time.Time
@@ -151,6 +168,19 @@
 	}
 }
 
+// looks and keeps ask the reducer between two events.
+func (s *Sockets) looks() Seen {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reducer.Seen(s.now())
+}
+
+func (s *Sockets) keeps() *Kept {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reducer.Kept()
+}
+
 // sit has the clients' socket: the platform's, or one of its own. Where the platform holds it, another
 // process of this relay may serve already; what it leaves is read here, and the start goes on without it
 // where it can't be.
