--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -172,7 +172,7 @@
 	for _, m := range members {
 		if m.State == peers.Alive {
 			all = append(all, recovery.Other{Name: m.Name, Age: m.Age, Phase: recovery.Phase(m.Phase),
-				Waiting: m.Waiting, Links: m.Links})
+				Waiting: m.Waiting, Links: m.Links, Mute: c.peers.Reach(m) == ""})
 		}
 	}
 	return all, members
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -1,7 +1,7 @@
 // Package baseline has the policies that the lab holds the decision module against, behind the module's own
 // calls, so that the same relay runs on them: random choice, round robin, least links of the relay's own, the
-// better of two by those, and perfect sight, which knows every server's load at the moment. They serve in no
-// deployment. Each link has as many setup tries as the module's, under the same rules of repeating.
+// better of two by those, and perfect sight, which knows every server's load at the moment; and perfect sight
+// that keeps the rules, which sends nothing where a server or the store has no room. They serve in no deployment. Each link has as many setup tries as the module's, under the same rules of repeating.
 package baseline
 
 import (
@@ -20,6 +20,7 @@
 	mostTries  int
 	maxBack    float64
 	truth      func(id uint32) float64 // load, for perfect sight
+	bears      func(id uint32) bool    // one more link, for the one that keeps the rules
 
 	index   map[uint32]int
 	ids     []uint32
@@ -40,16 +41,17 @@
 }
 
 // New takes the policy's name, what its chance is drawn from, the categories, the most setup tries of a link,
-// the longest time to come back that may be told, and the servers' true loads, which only "sight" reads.
+// the longest time to come back that may be told, the servers' true loads, which only "sight" reads, and whether
+// they bear one more link, which only "sight-kept" does.
 func New(policy string, seed uint64, categories []logic.Category, mostTries int, maxBack float64,
-	truth func(id uint32) float64) (*Module, error) {
+	truth func(id uint32) float64, bears func(id uint32) bool) (*Module, error) {
 	switch policy {
-	case "random", "round-robin", "least", "two", "sight":
+	case "random", "round-robin", "least", "two", "sight", "sight-kept":
 	default:
 		return nil, fmt.Errorf("variants: no baseline is called %q", policy)
 	}
 	return &Module{policy: policy, chance: rand.New(rand.NewSource(int64(seed))), categories: categories,
-		mostTries: mostTries, maxBack: maxBack, truth: truth, index: map[uint32]int{},
+		mostTries: mostTries, maxBack: maxBack, truth: truth, bears: bears, index: map[uint32]int{},
 		state: map[*logic.Link]*link{}, askAt: math.Inf(1)}, nil
 }
 
@@ -86,7 +88,7 @@
 func (m *Module) choose(not int) int {
 	some := m.shifts[:0]
 	for s, ready := range m.ready {
-		if ready && s != not {
+		if ready && s != not && (m.policy != "sight-kept" || m.bears(m.ids[s])) {
 			some = append(some, s)
 		}
 	}
@@ -113,7 +115,7 @@
 		return least(some, own)
 	case "two":
 		return least([]int{some[m.chance.Intn(len(some))], some[m.chance.Intn(len(some))]}, own)
-	case "sight":
+	case "sight", "sight-kept":
 		return least(some, func(s int) float64 { return m.truth(m.ids[s]) })
 	}
 	return some[m.chance.Intn(len(some))]
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -215,7 +215,7 @@
 }
 
 // Known are the names of the policies.
-var Known = []string{"module", "random", "round-robin", "least", "two", "sight"}
+var Known = []string{"module", "random", "round-robin", "least", "two", "sight", "sight-kept"}
 
 // Bounds on an experiment's size, against a slip that takes the machine down.
 const (
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -383,6 +383,38 @@
 	return true
 }
 
+// pushedNow is what the cold server was sent within its span, and the heaviest of it.
+func (s *Server) pushedNow(now float64) (sum float64) {
+	for _, p := range s.pushed {
+		if p.at > now-s.Fall {
+			sum += p.load
+		}
+	}
+	return sum
+}
+
+const (
+	fullAt   = 0.9   // of its present capacity, by the links that stand and are on their way
+	keptPart = 0.8   // of what a cold server bears within its span
+	storeAt  = 200.0 // ms of work that waits at the store
+)
+
+// Bears tells whether one more link can be sent to the server with all rules kept and in good time.
+func (w *World) Bears(s *Server) bool {
+	now := w.host.Now()
+	capacity, sum := s.Capacity(now), s.pushedNow(now)
+	if s.Dead || s.Draining || w.store.free > now+storeAt {
+		return false
+	}
+	coming := 0.0
+	for _, c := range s.conns {
+		if c.trying {
+			coming += c.load / 1000
+		}
+	}
+	return s.Demand+coming < fullAt*capacity && (s.warm(now) >= 1 || sum < keptPart*s.TipMultiple*capacity)
+}
+
 // weight reads what a link weighs, in thousandths of a core, and after how many milliseconds its lines come:
 // the lab's clients say so in their heads, as w and e, which relays pass on unread.
 func weight(head []byte) (load, every float64) {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -124,7 +124,7 @@
 	told := &relay.Told{Name: fmt.Sprintf("relay-%d", i), Discovery: "10.0.0.1:1", Sockets: x.Relays.Sockets,
 		Seed: x.Chance("relay", i*1000+s.lives[i]).Uint64(), Known: s.known[i],
 		Settings: x.Told(i % x.Fleet.Zones), Elder: elder != nil, Left: left}
-	module, err := Policy(x, s.variant, told, s.truth)
+	module, err := Policy(x, s.variant, told, s.truth, s.bears)
 	if err != nil {
 		return nil, err
 	}
@@ -224,7 +224,7 @@
 
 // Policy makes the module of one relay for a variant.
 func Policy(x *experiment.Experiment, variant string, told *relay.Told,
-	truth func(uint32) float64) (hand.Module, error) {
+	truth func(uint32) float64, bears func(uint32) bool) (hand.Module, error) {
 	if variant == experiment.Known[0] {
 		return settings.Over(told.Settings).Assemble(told.Seed)
 	}
@@ -235,7 +235,8 @@
 		categories = append(categories, logic.Category{PromisedTime: float64(t.Promised), Gain: t.Gain,
 			Effect: effect})
 	}
-	return baseline.New(variant, told.Seed, categories, x.Relays.Tries, float64(x.Relays.MaxBack), truth)
+	return baseline.New(variant, told.Seed, categories, x.Relays.Tries, float64(x.Relays.MaxBack), truth,
+		bears)
 }
 
 // truth is a server's true load, for perfect sight; one that is dead or dark is full.
@@ -248,6 +249,16 @@
 	return 1e6
 }
 
+// bears tells whether a server has room for one more link: perfect sight that keeps the rules.
+func (s *Sim) bears(id uint32) bool {
+	for _, v := range s.world.Servers {
+		if relay.Number(v.Name) == id {
+			return s.world.Bears(v)
+		}
+	}
+	return false
+}
+
 // Place gives a place on the network.
 func (s *Sim) Place(zone int) (model.Host, string) {
 	d := s.net.node(fmt.Sprintf("10.1.%d.%d:9000", len(s.net.order)/250, len(s.net.order)%250), zone)
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -50,6 +50,7 @@
 	Age            float64 // since its start
 	Phase          Phase
 	Waiting, Links uint32
+	Mute           bool // it can be heard, and not be asked yet
 }
 
 // Disk is what was read, or why nothing was.
@@ -71,8 +72,9 @@
 	phase  Phase
 	since  float64
 	disk   *Disk
-	alone  bool // no other relay is named
-	asked  map[string]bool
+	alone  bool            // no other relay is named
+	asked  map[string]bool // and no answer yet
+	tried  map[string]bool // and answered, or failed
 	voices []Voice
 	whole  bool
 	why    string
@@ -84,7 +86,7 @@
 
 // New starts at that time; with no others named, and no disk, it is over at once.
 func New(now float64, disk, others bool) *Plan {
-	p := &Plan{began: now, since: now, alone: !others, asked: map[string]bool{}, why: "just started"}
+	p := &Plan{began: now, since: now, alone: !others, asked: map[string]bool{}, tried: map[string]bool{}, why: "just started"}
 	if !disk {
 		p.disk = &Disk{Why: "none is named"}
 	}
@@ -118,6 +120,7 @@
 // Answered takes what another relay has kept, or why it does not say.
 func (p *Plan) Answered(v Voice, why string) {
 	delete(p.asked, v.From)
+	p.tried[v.From] = true
 	if why != "" {
 		p.left = append(p.left, v.From+": "+why)
 		return
@@ -154,8 +157,7 @@
 		return cmp.Or(cmp.Compare(b.Age, a.Age), cmp.Compare(a.Name, b.Name))
 	})
 	for _, o := range old {
-		known := p.asked[o.Name] || slices.ContainsFunc(p.voices, func(v Voice) bool { return v.From == o.Name })
-		if !known && len(p.asked)+len(p.voices) < mostAsked {
+		if !o.Mute && !p.asked[o.Name] && !p.tried[o.Name] && len(p.asked)+len(p.voices) < mostAsked {
 			p.asked[o.Name] = true
 			acts = append(acts, Act{Ask: o.Name})
 		}
@@ -171,7 +173,7 @@
 	case len(others) == 0:
 		return now >= p.began+hearTime
 	}
-	return len(p.asked) == 0 && len(p.voices) >= min(len(others), mostAsked)
+	return len(p.asked) == 0 && len(p.tried) >= min(len(others), mostAsked)
 }
 
 // believe decides what was a loss of all and what holds, and ends the asking.
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -170,6 +170,7 @@
 	}
 	r.arm(&r.watched, r.now+watchBeat)
 	r.heardAt = r.now
+	r.confirmed = r.confirmed || e.Kind == ListNews || r.asked > 0
 	if e.Kind == ListHeard {
 		return
 	}
--- a/internal/relay/recall.go
+++ b/internal/relay/recall.go
@@ -45,7 +45,7 @@
 // Seen is that.
 func (r *Reducer) Seen(now float64) Seen {
 	cold, usable := r.table.Balancer.Warmth(now)
-	return Seen{Now: now, Told: r.told, Index: r.index, Turned: int(r.Rejected), Links: r.links, Cold: cold,
+	return Seen{Now: now, Told: r.confirmed, Index: r.index, Turned: int(r.Rejected), Links: r.links, Cold: cold,
 		Usable: usable, Lame: r.lame}
 }
 
@@ -93,7 +93,7 @@
 			k.Categories[name] = KeptCategory{l.Loads[i], l.Weighed[i]}
 		}
 	}
-	if r.told {
+	if r.confirmed {
 		k.List, k.Told = r.listNow(), r.heardAt
 	}
 	return k
@@ -124,11 +124,13 @@
 	learnt := m.Recall(l)
 	m.Promised(r.now, k.Back)
 	listed := 0
-	if k.List != nil && !r.told && len(k.List.Entries) > 0 {
-		listed = len(k.List.Entries)
-		index := r.index
-		r.apply(&News{Whole: true, Entries: k.List.Entries})
-		r.index = index // what discovery tells is asked for whole
+	if k.List != nil && !r.confirmed && len(k.List.Entries) > 0 {
+		if k.List.Index > r.index { // than the platform's
+			listed = len(k.List.Entries)
+			index := r.index
+			r.apply(&News{Whole: true, Entries: k.List.Entries})
+			r.index = index // what discovery tells from there on is asked for
+		}
 		if k.Supposed {
 			m.Suppose(r.now)
 		}
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -238,6 +238,7 @@
 	ready      bool
 	starting   timer
 	told       bool    // the list, by discovery
+	confirmed  bool    // or that the one it has holds still
 	heardAt    float64 // from it, last
 	recovering bool
 
