--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -345,6 +347,48 @@
 	Shrink int    `default:"150" help:"The most experiments played to shrink one that was found; 0: none are."`
 	Out    string `default:"found" help:"The folder that what was found goes to, one experiment file each." type:"path"`
 	Most   int    `default:"10" help:"Stop looking after so many."`
+
+	Processes bool   `help:"Draw schedules for relay processes on loopback, each some seconds long."`
+	Side      int    `default:"4" help:"With processes: so many schedules side by side."`
+	Relay     string `help:"With processes: the relay's program; valeshift-lab beside this one, if none is named." type:"path"`
+	late      atomic.Int64
+}
+
+// processes plays a schedule with relay processes. One that the machine was too slow for is not counted, twice
+// at the most.
+func (c *huntCommand) processes(ctx context.Context, x *experiment.Experiment) *hunt.Found {
+	binary := c.Relay
+	if binary == "" {
+		own, err := program("")
+		if err != nil {
+			return &hunt.Found{Experiment: x, Panic: err.Error()}
+		}
+		binary = own + "-lab"
+	}
+	dir := filepath.Join(c.Out, x.Name)
+	for range 2 {
+		os.RemoveAll(dir)
+		if err := os.MkdirAll(dir, 0o755); err != nil {
+			return &hunt.Found{Experiment: x, Panic: err.Error()}
+		}
+		r, err := live.Play(ctx, x, binary, dir)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err != nil:
+			return &hunt.Found{Experiment: x, Panic: err.Error()}
+		case r.Late:
+			continue
+		}
+		found := hunt.Of(x, r.Audit)
+		if found == nil {
+			os.RemoveAll(dir) // logs and disks are kept of what broke a rule
+		}
+		return found
+	}
+	c.late.Add(1)
+	os.RemoveAll(dir)
+	return nil
 }
 
 // Run hunts.
@@ -354,7 +398,14 @@
 	began := time.Now()
 	var all []*hunt.Found
 	last, seen := time.Now(), 0
-	hunt.Hunt(ctx, c.From, c.From+c.Count, func(f *hunt.Found) {
+	side, play := runtime.GOMAXPROCS(0), hunt.Play
+	draw := hunt.Draw
+	if c.Processes {
+		side, draw = c.Side, hunt.Machines
+		play = func(x *experiment.Experiment) *hunt.Found { return c.processes(ctx, x) }
+	}
+	each := func(seed uint64) *hunt.Found { return play(draw(seed)) }
+	hunt.HuntBy(ctx, c.From, c.From+c.Count, side, each, func(f *hunt.Found) {
 		if all = append(all, f); len(all) >= c.Most {
 			stop()
 		}
@@ -367,9 +418,12 @@
 	fmt.Fprint(os.Stderr, "\r")
 	fmt.Printf("%d seeds from %d on in %.1f s: %d break a rule\n", seen, c.From, time.Since(began).Seconds(),
 		len(all))
+	if late := c.late.Load(); late > 0 {
+		fmt.Printf("%d of them were too much for this machine, and are not counted\n", late)
+	}
 	for _, f := range all {
 		if c.Shrink > 0 {
-			f = hunt.Shrink(f, c.Shrink)
+			f = hunt.ShrinkBy(f, c.Shrink, play)
 		}
 		text, err := f.Text()
 		if err != nil {
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -8,17 +8,18 @@
 import "math"
 
 const (
-	recoverPart = 0.45  // of what all cold servers bear within a span, that all relays together send them
-	mostPart    = 1.6   // even parts, that one relay ever takes of that
-	savedPart   = 0.25  // of a span, for which what was not used is saved up
-	cheapLeast  = 0.25  // of the chance of dear links, that the cheapest have
-	meanFor     = 500.0 // over which the gain of those that wait is averaged
-	toldEarly   = 300.0 // around the time that a client was told, within which it keeps to it
-	toldLate    = 700.0
-	newPart     = 0.5 // of the chance, that who was told no time has while others come at theirs
-	toldFor     = 10000.0
-	mostTold    = 1 << 16 // clients, in each half of the memory of those told
-	faith       = 20.0    // links of its own, from which a relay trusts them as much as what was kept
+	mostMean   = 0.45  // of what all cold servers bear within a span, that all relays together mean to send
+	chanceOver = 6.4   // roots of the mean above it: 4.5 deviations, of weights that spread like their mean
+	mostPart   = 1.6   // even parts, that one relay ever takes of that
+	savedPart  = 0.25  // of a span, for which what was not used is saved up
+	cheapLeast = 0.25  // of the chance of dear links, that the cheapest have
+	meanFor    = 500.0 // over which the gain of those that wait is averaged
+	toldEarly  = 300.0 // around the time that a client was told, within which it keeps to it
+	toldLate   = 700.0
+	newPart    = 0.5 // of the chance, that who was told no time has while others come at theirs
+	toldFor    = 10000.0
+	mostTold   = 1 << 16 // clients, in each half of the memory of those told
+	faith      = 20.0    // links of its own, from which a relay trusts them as much as what was kept
 )
 
 // Admission is one relay's. The zero one, and none, change nothing.
@@ -70,16 +71,24 @@
 
 // Pace is this relay's budget of cold servers for a millisecond and all of one's capacity, in links of the mean
 // load, of which a server bears so many; a server falls at that multiple of its present capacity within the
-// span; cold and usable count servers. While the fleet recovers and what a server bears is known, it is a part
-// of what they bear within that span, in place of what fills them over their warm-up: there is no warm server
-// beside them that could serve meanwhile.
-func (a *Admission) Pace(links, multiple, span, usual, cold, usable float64) float64 {
+// span, and starts with the part from of it; cold and usable count servers. While the fleet recovers and what a
+// server bears is known, it is a part of what they bear within that span, in place of what fills them over
+// their warm-up: there is no warm server beside them that could serve meanwhile.
+func (a *Admission) Pace(links, multiple, from, span, usual, cold, usable float64) float64 {
 	if a != nil && a.on && a.capacity > 0 && 2*cold > usable {
-		return recoverPart * multiple * links / span * a.part
+		return recoverPart(multiple*links*from) * multiple * links / span * a.part
 	}
 	return usual
 }
 
+// recoverPart is the part of what cold servers bear within a span, of so many links for one of them, that all
+// relays together mean to send. Links come to a server by chance and differ in weight, so that the fewer it
+// bears, the further under that the mean has to lie.
+func recoverPart(bears float64) float64 {
+	root := (math.Sqrt(chanceOver*chanceOver+4*bears) - chanceOver) / 2
+	return min(root*root/max(bears, 1), mostMean)
+}
+
 // Again tells whether links that wait ask for a cold server anew each time.
 func (a *Admission) Again() bool { return a != nil && a.on && a.capacity > 0 }
 
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -21,7 +21,7 @@
 			a.Knows(4e6)
 			part := rapid.OneOf(rapid.Float64Range(0, 2), rapid.Just(math.Inf(1)), rapid.Just(-1.0)).Draw(t, "part")
 			a.On(true, part, float64(relays))
-			sum += a.Pace(links, 3, 2000, 0, 2, 2) * (2000 + a.Saves(2000, 3000))
+			sum += a.Pace(links, 3, 1, 2000, 0, 2, 2) * (2000 + a.Saves(2000, 3000))
 		}
 		if most := 0.9 * 3 * links; sum > most*(1+1e-9) {
 			t.Fatalf("%d relays come to %v, %v at the most", relays, sum, most)
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -235,6 +235,9 @@
 	}
 }
 
+// Started takes that a server has begun another life.
+func (a *Auditor) Started(_ float64, server string) { delete(a.pushes, server) }
+
 // TryOver takes that a try is over for its server.
 func (a *Auditor) TryOver(now float64, id, server string) {
 	l := a.links[id]
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -114,6 +114,46 @@
 	return x
 }
 
+// Machines draws a schedule for relay processes: what Draw gives, of a size that a machine plays in seconds,
+// with disks and ways between relays.
+func Machines(seed uint64) *experiment.Experiment {
+	x := Draw(seed)
+	chance := rand.New(rand.NewSource(int64(seed) + 1<<40))
+	x.Name = fmt.Sprintf("machines-%d", seed)
+	factor := 11000 / float64(x.Length)
+	x.Length, x.Warm = 11000, 1000
+	x.Relays.Count, x.Relays.Peers, x.Relays.Disk, x.Relays.Sockets = 3+chance.Intn(7), true, true, 0
+	x.Relays.Probes, x.Fleet.SetupWork = true, min(x.Fleet.SetupWork, 10)
+	for i := range x.Traffic {
+		x.Traffic[i].Standing, x.Traffic[i].Rate = min(x.Traffic[i].Standing, 80), min(x.Traffic[i].Rate, 15)
+	}
+	for i := range x.Faults {
+		f := &x.Faults[i]
+		f.At = experiment.Span(math.Round(float64(f.At) * factor))
+		f.For, f.Spread = min(f.For, 3000), min(f.Spread, 2000)
+		f.Never = min(f.Never, x.Relays.Count-1)
+	}
+	x.Faults = slices.DeleteFunc(x.Faults, func(f experiment.Fault) bool { return f.Kind == "relay-replace" })
+	if err := x.Complete(); err != nil {
+		panic(fmt.Sprintf("seed %d: %v", seed, err)) // the drawing is wrong
+	}
+	return x
+}
+
+// Of gives what a run broke, or nil.
+func Of(x *experiment.Experiment, a *audit.Auditor) *Found {
+	if a.Broken() == 0 {
+		return nil
+	}
+	found := &Found{Experiment: x, Breaks: a.Breaks, Counts: map[audit.Rule]int{}}
+	for rule, n := range a.Counts {
+		if n > 0 {
+			found.Counts[audit.Rule(rule)] = n
+		}
+	}
+	return found
+}
+
 // Play plays an experiment and gives what it broke, or nil.
 func Play(x *experiment.Experiment) (found *Found) {
 	defer func() {
@@ -125,21 +165,18 @@
 	if err != nil {
 		return &Found{Experiment: x, Panic: err.Error()}
 	}
-	if r.Audit.Broken() == 0 {
-		return nil
-	}
-	found = &Found{Experiment: x, Breaks: r.Audit.Breaks, Counts: map[audit.Rule]int{}}
-	for rule, n := range r.Audit.Counts {
-		if n > 0 {
-			found.Counts[audit.Rule(rule)] = n
-		}
-	}
-	return found
+	return Of(x, r.Audit)
 }
 
 // Hunt plays the experiments of the seeds from one on to another, not itself, on all cores, and calls back
 // for each that breaks a rule, in the order they are met, and after each played with how many are.
 func Hunt(ctx context.Context, from, to uint64, found func(*Found), played func(n int)) {
+	HuntBy(ctx, from, to, runtime.GOMAXPROCS(0), func(seed uint64) *Found { return Play(Draw(seed)) }, found, played)
+}
+
+// HuntBy does so by another way to play a seed, so many side by side.
+func HuntBy(ctx context.Context, from, to uint64, side int, play func(seed uint64) *Found, found func(*Found),
+	played func(n int)) {
 	seeds := make(chan uint64)
 	go func() {
 		defer close(seeds)
@@ -154,12 +191,12 @@
 	var wait sync.WaitGroup
 	var mutex sync.Mutex
 	n := 0
-	for range runtime.GOMAXPROCS(0) {
+	for range side {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
 			for seed := range seeds {
-				f := Play(Draw(seed))
+				f := play(seed)
 				mutex.Lock()
 				if n++; f != nil {
 					f.Seed = seed
@@ -188,7 +225,10 @@
 
 // Shrink cuts what was found down, step by step, as long as it still breaks a rule that it broke at first;
 // budget is the most experiments that it plays.
-func Shrink(f *Found, budget int) *Found {
+func Shrink(f *Found, budget int) *Found { return ShrinkBy(f, budget, Play) }
+
+// ShrinkBy does so by another way to play.
+func ShrinkBy(f *Found, budget int, play func(x *experiment.Experiment) *Found) *Found {
 	for again := true; again && budget > 0; {
 		again = false
 		for _, less := range smaller(f.Experiment) {
@@ -198,7 +238,7 @@
 			if less.Complete() != nil {
 				continue
 			}
-			if g := Play(less); f.same(g) {
+			if g := play(less); f.same(g) {
 				g.Seed, f, again = f.Seed, g, true
 				break
 			}
--- a/internal/lab/model/host.go
+++ b/internal/lab/model/host.go
@@ -52,6 +52,8 @@
 	Told(now float64, relay int, server, status string, since float64)
 	// Relay: it was killed, or exited (false), or serves (true); stopping counts as serving.
 	Relay(now float64, relay int, up bool)
+	// Started: a server that was dead serves again; what it was sent in its former life is no load on this one.
+	Started(now float64, server string)
 	// Frozen: it is stopped by the machine (true), or goes on (false): nothing that it owes meanwhile counts.
 	Frozen(now float64, relay int, frozen bool)
 	// Emptied: a relay was told to empty itself some seconds ago, and may hold nobody any more.
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -229,6 +229,7 @@
 	now := s.host.Now()
 	s.Dead, s.Since, s.last, s.pushed, s.still = false, now, now, nil, false
 	s.reportAt = math.Inf(-1)
+	s.watch.Started(now, s.Name)
 }
 
 // drop ends a connection from this side.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -86,7 +86,8 @@
 	version  = 1
 )
 
-var table = crc32.MakeTable(crc32.Castagnoli)
+// table is made at its first use: against every start of the program paying for it, also without a disk.
+var table = sync.OnceValue(func() *crc32.Table { return crc32.MakeTable(crc32.Castagnoli) })
 
 // Store is one relay's.
 type Store struct {
@@ -223,7 +224,7 @@
 		return nil, 0
 	}
 	body = data[at+frame : at+frame+n]
-	if crc32.Checksum(body, table) != binary.LittleEndian.Uint32(data[at+8:]) {
+	if crc32.Checksum(body, table()) != binary.LittleEndian.Uint32(data[at+8:]) {
 		return nil, 0
 	}
 	return body, at + frame + n
@@ -255,7 +256,7 @@
 	body := to[begin+frame:]
 	binary.LittleEndian.PutUint32(to[begin:], magic)
 	binary.LittleEndian.PutUint32(to[begin+4:], uint32(len(body)))
-	binary.LittleEndian.PutUint32(to[begin+8:], crc32.Checksum(body, table))
+	binary.LittleEndian.PutUint32(to[begin+8:], crc32.Checksum(body, table()))
 	return to
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -146,7 +146,7 @@
 	since := min(now-w.asked, b.admission.Saves(w.span, 1.5*w.span))
 	offered := since * b.admission.Offers(b.effects.categories[l.Category].Gain, l.Key, now)
 	links := max(b.capacity/b.shares.loadMean, 1)
-	pace := b.admission.Pace(links, w.multiple, w.span, w.multiple/2*links/w.length/w.relays, cold, all)
+	pace := b.admission.Pace(links, w.multiple, w.from, w.span, w.multiple/2*links/w.length/w.relays, cold, all)
 	due := sum * pace * offered / max(l.load/b.shares.loadMean, 0.1)
 	w.asked = now - b.admission.Leaves(since, offered, due)
 	lot := b.turns.chance.Float64()
--- a/logic/recovery.go
+++ b/logic/recovery.go
@@ -10,6 +10,8 @@
 // discovery has not confirmed, the loss of the whole fleet. What follows of those for cold servers is decided
 // in admit; nothing is decided here.
 
+const mostGrowth = 1.25 // of what was kept, that one life passes on
+
 // Learnt is what a relay knows of servers and links in general, not of any one: a hint to one just back.
 type Learnt struct {
 	Capacity       float64 // of a server, microseconds of work a second; 0: not known
@@ -18,13 +20,19 @@
 }
 
 // Learnt gives what this relay has learnt, for its next life and for others. With too few links for a word of
-// its own it passes on what it was told.
+// its own, or while the fleet recovers, it passes on what it was told, and later no more than a part above it:
+// against guesses of the first seconds, when servers' figures hold few of the links sent there, growing from
+// one life to the next where power is lost over and over.
 func (b *Balancer) Learnt() Learnt {
 	s := b.shares
 	l := Learnt{Capacity: b.capacity, LoadMean: s.loadMean, Loads: append([]float64{}, s.loads...),
 		Weighed: append([]float64{}, s.weighed...)}
-	if s.known < quotaFaith {
-		l.Capacity = b.admission.Kept()
+	kept := b.admission.Kept()
+	switch {
+	case s.known < quotaFaith, kept > 0 && (s.known < 2*quotaFaith || b.admission.Again()):
+		l.Capacity = kept
+	case kept > 0:
+		l.Capacity = min(l.Capacity, mostGrowth*kept)
 	}
 	return l
 }
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -101,3 +101,21 @@
 	assert.False(t, b.effects.budget.allows(1001))
 	assert.True(t, b.effects.budget.allows(3000))
 }
+
+// What a life of some seconds makes of what it was told does not grow from life to life.
+func TestLearntDoesNotGrow(t *testing.T) {
+	l := learnt(1)
+	for range 20 {
+		b := young(2, 4, 1000, 1)
+		require.True(t, b.Recall(l))
+		b.Recover(true, 0)
+		place(b, 1100, 60, 10)
+		b.capacity = 10 * l.Capacity // as figures that hold nothing yet have it
+		l = b.Learnt()
+	}
+	assert.Equal(t, 4e6, l.Capacity)
+	b := young(2, 4, 1000, 1)
+	require.True(t, b.Recall(l))
+	b.shares.known, b.capacity = 2*quotaFaith, 10*l.Capacity
+	assert.Equal(t, mostGrowth*4e6, b.Learnt().Capacity)
+}
