--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,6 +63,7 @@
 	relays []*process
 	dir    string
 	binary string
+	number int64 // of the run
 
 	ways     map[[2]int]experiment.Way // as they are, by who sends and who is sent to
 	forwards map[[2]int][]*way.Way     // by who dials and who is dialed
@@ -90,7 +92,7 @@
 func Play(ctx context.Context, x *experiment.Experiment, binary, dir string) (*Result, error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	r := &Run{ground: newGround(ctx), x: x, dir: dir, binary: binary,
+	r := &Run{ground: newGround(ctx), x: x, dir: dir, binary: binary, number: runs.Add(1),
 		ways: map[[2]int]experiment.Way{}, forwards: map[[2]int][]*way.Way{},
 		audit: audit.New(slack, x.Fleet.TipMultiple, float64(x.Fleet.Fall))}
 	defer r.close()
@@ -201,9 +203,13 @@
 	return err
 }
 
-// home is a machine's own address on loopback.
+// runs counts them, as several may be played side by side.
+var runs atomic.Int64
+
+// home is a machine's own address on loopback, and no other run's: against a port that is free when it is
+// looked for, and somebody else's when it is listened on.
 func (r *Run) home(machine int) string {
-	return fmt.Sprintf("127.0.%d.%d", 1+machine/200, 1+machine%200)
+	return fmt.Sprintf("127.%d.%d.%d", 1+r.number%250, 1+machine/200, 1+machine%200)
 }
 
 // Freeze stops a relay's process, or has it go on.
