What a server bears is measured by the links of all relays where they know of each other

The relays had kept 1.7 to 5.3 million for servers of 0.86: a relay takes its own load for an even part (logic.go, refresh), and with others gone it holds more, of which the highest is kept. Ruled out: ways, the slow disk, the list. Change: the load of this relay's links on warm servers, times all relays' links over its own, over the servers' figures, smoothed; only where relays know of each other and run as always. Forwarders of the lab stand at addresses of their own.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -20,6 +20,9 @@
 	keepEvery = 1000.0 // between two writings of what is known
 	rateOver  = 500.0  // over which clients turned away are counted
 	smooth    = 0.3    // of the way, that their rate moves in it
+
+	leastLinks   = 5   // of this relay, that a measure of the fleet stands on
+	leastFigures = 0.5 // and servers' worth of load
 )
 
 // Act is something that Core asks for, one field at a time.
@@ -49,6 +52,7 @@
 	turned   int // at the beginning of the second that is counted
 	turnedAt float64
 	waiting  float64
+	measured float64 // what a server bears; 0: not yet in this life
 	keepAt   float64
 	read     bool
 }
@@ -224,11 +228,41 @@
 	if k.Capacity == 0 {
 		k.Capacity, k.LoadMean, k.Categories = c.kept.Capacity, c.kept.LoadMean, c.kept.Categories
 	}
+	k.Capacity = c.bears(now, k)
 	c.kept = k
 	text, _ := k.Text() // of plain values
 	return store.Record{Kind: store.Knowing, Boot: c.boot, At: now, Body: text}
 }
 
+// bears is what a server bears, by what all relays together hold and what the servers say: this relay's own
+// load times all links over its own. Against a relay's guess from its part alone, which it takes for an even
+// one: with some relays gone it came to six times the truth. Alone, or with too little to go by, that is all
+// there is.
+func (c *Core) bears(now float64, k *relay.Kept) float64 {
+	if c.peers == nil {
+		return k.Capacity
+	}
+	links := float64(c.seen.Links)
+	if all, _ := c.others(now); c.plan.Phase() == recovery.Normal && links >= leastLinks && k.Figures > leastFigures {
+		sum := links
+		for _, o := range all {
+			sum += float64(o.Links)
+		}
+		measured := k.Own * sum / links / k.Figures
+		if c.measured == 0 {
+			c.measured = measured
+		}
+		c.measured += (measured - c.measured) * smooth / 3
+	}
+	switch {
+	case c.measured > 0:
+		return c.measured
+	case c.kept.Capacity > 0:
+		return c.kept.Capacity
+	}
+	return k.Capacity
+}
+
 // answer is what one relay says to another that asks.
 type answer struct {
 	Kept    *relay.Kept
@@ -246,6 +280,7 @@
 	if k.Capacity == 0 {
 		k.Capacity, k.LoadMean, k.Categories = c.kept.Capacity, c.kept.LoadMean, c.kept.Categories
 	}
+	k.Capacity = c.bears(now, k)
 	k.Back = nil
 	text, _ := json.Marshal(a)
 	return text
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -185,7 +185,7 @@
 		if err != nil {
 			return err
 		}
-		w, err := way.New(r.home(p.number), l.Addr().String(), r.x.Chance("way", 10*p.number+i))
+		w, err := way.New(r.road(p.number), l.Addr().String(), r.x.Chance("way", 10*p.number+i))
 		if err != nil {
 			return err
 		}
@@ -212,6 +212,11 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+r.number%250, 1+machine/200, 1+machine%200)
 }
 
+// road is where the ways from a machine begin: elsewhere, for the same reason.
+func (r *Run) road(machine int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+r.number%250, 101+machine/200, 1+machine%200)
+}
+
 // Freeze stops a relay's process, or has it go on.
 func (r *Run) Freeze(i int, on bool) {
 	signal := syscall.SIGCONT
--- a/internal/lab/live/mates.go
+++ b/internal/lab/live/mates.go
@@ -44,7 +44,7 @@
 				if j == i {
 					continue
 				}
-				w, err := way.New(r.home(i), to, x.Chance("way", 1000*(i+1)+j))
+				w, err := way.New(r.road(i), to, x.Chance("way", 1000*(i+1)+j))
 				if err != nil {
 					return err
 				}
--- a/internal/relay/recall.go
+++ b/internal/relay/recall.go
@@ -25,6 +25,11 @@
 	Categories map[string]KeptCategory
 	Back       map[uint64]float64 // clock times, by key
 
+	// Own and Figures are of warm servers: the load of this relay's links there, and the sum of their figures. Of
+	// those and of how many links each relay has, what a server bears can be told for the whole fleet.
+	Own     float64 `json:"-"`
+	Figures float64 `json:"-"`
+
 	// Supposed: nobody who has heard discovery in this life tells the list, so that its servers are held to have
 	// just started.
 	Supposed bool `json:"-"`
@@ -86,8 +91,8 @@
 // Kept is what this relay would keep now.
 func (r *Reducer) Kept() *Kept {
 	l := r.table.Balancer.Learnt()
-	k := &Kept{Version: keptVersion, Capacity: l.Capacity, LoadMean: l.LoadMean,
-		Categories: map[string]KeptCategory{}, Back: r.table.Balancer.Told(r.now)}
+	k := &Kept{Version: keptVersion, Capacity: l.Capacity, LoadMean: l.LoadMean, Own: l.Own,
+		Figures: l.Figures, Categories: map[string]KeptCategory{}, Back: r.table.Balancer.Told(r.now)}
 	for name, i := range r.categories {
 		if i < len(l.Loads) {
 			k.Categories[name] = KeptCategory{l.Loads[i], l.Weighed[i]}
--- a/logic/recovery.go
+++ b/logic/recovery.go
@@ -17,6 +17,8 @@
 	Capacity       float64 // of a server, microseconds of work a second; 0: not known
 	LoadMean       float64 // of a link
 	Loads, Weighed []float64
+
+	Own, Figures float64 // of warm servers: the load of this relay's links that figures hold, and their sum
 }
 
 // Learnt gives what this relay has learnt, for its next life and for others. With too few links for a word of
@@ -27,6 +29,12 @@
 	s := b.shares
 	l := Learnt{Capacity: b.capacity, LoadMean: s.loadMean, Loads: append([]float64{}, s.loads...),
 		Weighed: append([]float64{}, s.weighed...)}
+	for i, c := range b.condition {
+		if c == Ready && b.health.good(i) && !math.IsNaN(b.probing.load[i]) && math.IsInf(b.warmup.since[i], -1) {
+			l.Own += max(b.linkLoads[i]-b.probing.fresh[i], 0)
+			l.Figures += b.probing.load[i]
+		}
+	}
 	kept := b.admission.Kept()
 	switch {
 	case s.known < quotaFaith, kept > 0 && (s.known < 2*quotaFaith || b.admission.Again()):
