--- a/cmd/valeshift/fleet.go
+++ b/cmd/valeshift/fleet.go
@@ -56,8 +56,8 @@
 func show(to io.Writer, address string, s *fleet.Status) {
 	p := s.Recovery
 	fmt.Fprintf(to, "%s  %s for %.1f s: %s\n", address, p.Phase, p.For/1000, p.Why)
-	fmt.Fprintf(to, "  start %d, order %d, empty %t, %d links, %d turned away in the last second\n", s.Boot, s.Order, s.Lame,
-		s.Links, s.Waiting)
+	fmt.Fprintf(to, "  start %d, order %d, empty %t, %d links, %d turned away in the last second\n", s.Boot,
+		s.Order, s.Lame, s.Links, s.Waiting)
 	fmt.Fprintf(to, "  list told by discovery %t, %d of %d servers cold, this relay's part of what they bear %.3f\n",
 		p.ListTold, s.Cold, s.Usable, p.Part)
 	if s.Disk != "" {
@@ -74,8 +74,8 @@
 	}
 	w := tabwriter.NewWriter(to, 2, 8, 2, ' ', 0)
 	for _, m := range s.Members {
-		fmt.Fprintf(w, "  %s\t%s\t%s\tstart %d\tup %.0f s\theard %.1f s ago\tzone %s\tlist %d\t%d links\n", m.Name, m.State,
-			m.Phase, m.Boot, m.Age/1000, m.Quiet/1000, m.Zone, m.List, m.Links)
+		fmt.Fprintf(w, "  %s\t%s\t%s\tstart %d\tup %.0f s\theard %.1f s ago\tzone %s\tlist %d\t%d links\n",
+			m.Name, m.State, m.Phase, m.Boot, m.Age/1000, m.Quiet/1000, m.Zone, m.List, m.Links)
 	}
 	w.Flush()
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -60,8 +60,8 @@
 // New starts the relay's side: with others, where an own word is given that says where it hears them, and with
 // a disk, which is told of by Disk.
 func New(now float64, own peers.Word, seeds []string, key []byte, disk bool, chance *rand.Rand) *Core {
-	c := &Core{plan: recovery.New(now, disk, own.Address != ""), hasDisk: disk, turnedAt: now, keepAt: now + keepEvery,
-		kept: &relay.Kept{}, diskWhy: "being read"}
+	c := &Core{plan: recovery.New(now, disk, own.Address != ""), hasDisk: disk, turnedAt: now,
+		keepAt: now + keepEvery, kept: &relay.Kept{}, diskWhy: "being read"}
 	if !disk {
 		c.diskWhy = "none is named"
 	}
@@ -243,7 +243,8 @@
 		return k.Capacity
 	}
 	links := float64(c.seen.Links)
-	if all, _ := c.others(now); c.plan.Phase() == recovery.Normal && links >= leastLinks && k.Figures > leastFigures {
+	usual := c.plan.Phase() == recovery.Normal
+	if all, _ := c.others(now); usual && links >= leastLinks && k.Figures > leastFigures {
 		sum := links
 		for _, o := range all {
 			sum += float64(o.Links)
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -1,7 +1,8 @@
 // Package baseline has the policies that the lab holds the decision module against, behind the module's own
 // calls, so that the same relay runs on them: random choice, round robin, least links of the relay's own, the
 // better of two by those, and perfect sight, which knows every server's load at the moment; and perfect sight
-// that keeps the rules, which sends nothing where a server or the store has no room. They serve in no deployment. Each link has as many setup tries as the module's, under the same rules of repeating.
+// that keeps the rules, which sends nothing where a server or the store has no room. They serve in no
+// deployment. Each link has as many setup tries as the module's, under the same rules of repeating.
 package baseline
 
 import (
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -191,7 +191,8 @@
 		}
 		context.AfterFunc(r.ctx, w.Close)
 		p.lists[i] = w.Address
-		r.forwards[[2]int{p.number, experiment.Discovery}] = append(r.forwards[[2]int{p.number, experiment.Discovery}], w)
+		pair := [2]int{p.number, experiment.Discovery}
+		r.forwards[pair] = append(r.forwards[pair], w)
 		server := &http.Server{Handler: &list{r: r, relay: p.number}}
 		go server.Serve(l)
 		context.AfterFunc(r.ctx, func() { server.Close() })
--- a/internal/lab/live/mates.go
+++ b/internal/lab/live/mates.go
@@ -52,8 +52,8 @@
 				r.forwards[[2]int{i, j}] = append(r.forwards[[2]int{i, j}], w)
 				seeds = append(seeds, fmt.Sprintf("%q", w.Address))
 			}
-			text += fmt.Sprintf("[peers]\nlisten = %q\nkey-file = %q\nzone = %q\nseeds = [%s]\nseeds-only = true\n", hears[i],
-				key, experiment.Zone(i%x.Fleet.Zones), strings.Join(seeds, ", "))
+			text += fmt.Sprintf("[peers]\nlisten = %q\nkey-file = %q\nzone = %q\nseeds = [%s]\nseeds-only = true\n",
+				hears[i], key, experiment.Zone(i%x.Fleet.Zones), strings.Join(seeds, ", "))
 		}
 		if x.Relays.Disk {
 			p.disk = filepath.Join(r.dir, fmt.Sprintf("disk-%d", i))
--- a/internal/lab/sim/mates.go
+++ b/internal/lab/sim/mates.go
@@ -50,7 +50,8 @@
 		return
 	}
 	chance := x.Chance("mates", i*1000+s.lives[i])
-	own := peers.Word{Name: fmt.Sprintf("relay-%d", i), Zone: experiment.Zone(i % x.Fleet.Zones), Life: chance.Uint64()}
+	own := peers.Word{Name: fmt.Sprintf("relay-%d", i), Zone: experiment.Zone(i % x.Fleet.Zones),
+		Life: chance.Uint64()}
 	var seeds []string
 	if x.Relays.Peers {
 		own.Address = peerAddress(i)
--- a/internal/lab/sim/recovery_test.go
+++ b/internal/lab/sim/recovery_test.go
@@ -71,8 +71,10 @@
 		{"discovery returns late and counts anew", all + fault("discovery-down", "10s", "for = \"7s\"") +
 			fault("discovery-back", "16s", "")},
 		{"addresses are taken by others", all + fault("address-taken", "9s", "share = 0.3")},
-		{"two islands recover apart and meet", all + fault("way-cut", "10s", "for = \"8s\"\nfrom = \"half\"\nto = \"rest\"\nboth = true")},
-		{"a third of what relays say is lost, all of it late", all + fault("way-loss", "10s", "for = \"9s\"\nfactor = 0.33\nfrom = \"half\"\nto = \"rest\"\nboth = true") +
+		{"two islands recover apart and meet", all + fault("way-cut", "10s",
+			"for = \"8s\"\nfrom = \"half\"\nto = \"rest\"\nboth = true")},
+		{"a third of what relays say is lost, all of it late", all + fault("way-loss", "10s",
+			"for = \"9s\"\nfactor = 0.33\nfrom = \"half\"\nto = \"rest\"\nboth = true") +
 			fault("way-delay", "10s", "for = \"9s\"\nfactor = 0.3\nfrom = \"rest\"\nto = \"half\"")},
 		{"some are stopped over the loss and wake with the old world",
 			fault("relay-freeze", "9900ms", "for = \"5s\"\nshare = 0.3") + all},
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -87,7 +87,8 @@
 
 // New starts at that time; with no others named, and no disk, it is over at once.
 func New(now float64, disk, others bool) *Plan {
-	p := &Plan{began: now, since: now, alone: !others, asked: map[string]bool{}, tried: map[string]bool{}, why: "just started"}
+	p := &Plan{began: now, since: now, alone: !others, asked: map[string]bool{}, tried: map[string]bool{},
+		why: "just started"}
 	if !disk {
 		p.disk = &Disk{Why: "none is named"}
 	}
@@ -212,7 +213,8 @@
 	case 2*young > len(others):
 		return true, fmt.Sprintf("%d of %d others have just started too", young, len(others))
 	}
-	return false, fmt.Sprintf("%d of %d others have run for long: only this one restarted", len(others)-young, len(others))
+	return false, fmt.Sprintf("%d of %d others have run for long: only this one restarted", len(others)-young,
+		len(others))
 }
 
 // Believe makes one of what the disk and the others have kept. Loads are not among it: none is worth anything.
@@ -352,6 +354,6 @@
 
 // Status is how things stand.
 func (p *Plan) Status(now float64) Status {
-	return Status{Phase: p.phase.String(), Why: p.why, For: now - p.since, Whole: p.whole, Part: p.part, Took: p.took,
-		Left: p.left, ListTold: p.told, Waited: len(p.asked), All: len(p.voices)}
+	return Status{Phase: p.phase.String(), Why: p.why, For: now - p.since, Whole: p.whole, Part: p.part,
+		Took: p.took, Left: p.left, ListTold: p.told, Waited: len(p.asked), All: len(p.voices)}
 }
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -92,8 +92,9 @@
 	Stop()
 }
 
-// Serve runs the relay until it has stopped, with its mates where it has some. Again reads anew what the relay is told, and gives what is to be
-// done besides once that is found to be right as a whole; stop, print and reload bring the signals.
+// Serve runs the relay until it has stopped, with its mates where it has some. Again reads anew what the relay
+// is told, and gives what is to be done besides once that is found to be right as a whole; stop, print and
+// reload bring the signals.
 func Serve(t *Told, mates Mates, again func() (*Told, func(), error), log *slog.Logger,
 	stop, print, reload <-chan struct{}) error {
 	now := time.Now()
