What servers bear is measured only once a relay has run as always for five seconds

Change: the measure begins five seconds into the normal phase; until then what was kept is passed on, or nothing.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -21,8 +21,9 @@
 	rateOver  = 500.0  // over which clients turned away are counted
 	smooth    = 0.3    // of the way, that their rate moves in it
 
-	leastLinks   = 5   // of this relay, that a measure of the fleet stands on
-	leastFigures = 0.5 // and servers' worth of load
+	settled      = 5000.0 // in the normal phase, from which figures hold what was placed
+	leastLinks   = 5      // of this relay, that a measure of the fleet stands on
+	leastFigures = 0.5    // and servers' worth of load
 )
 
 // Act is something that Core asks for, one field at a time.
@@ -243,7 +244,8 @@
 		return k.Capacity
 	}
 	links := float64(c.seen.Links)
-	usual := c.plan.Phase() == recovery.Normal
+	s := c.plan.Status(now)
+	usual := c.plan.Phase() == recovery.Normal && s.For >= settled
 	if all, _ := c.others(now); usual && links >= leastLinks && k.Figures > leastFigures {
 		sum := links
 		for _, o := range all {
@@ -255,13 +257,10 @@
 		}
 		c.measured += (measured - c.measured) * smooth / 3
 	}
-	switch {
-	case c.measured > 0:
+	if c.measured > 0 {
 		return c.measured
-	case c.kept.Capacity > 0:
-		return c.kept.Capacity
 	}
-	return k.Capacity
+	return c.kept.Capacity // or nothing: the figures of the first seconds hold few of the links there are
 }
 
 // answer is what one relay says to another that asks.
