Operators' calls are answered once the relay's side of the fleet has begun

Seen on the last read of the change: calls were taken in before the mates had started, so that one in that moment raced with their assignment, or met a nil core under Order's lock. Now they start first. What both Keep and Answer fill in stands in one place (fleet/core.go). Left: peers.Next serves tests only, and Seen.Lame is read by nobody. Tests of cmd/valeshift, fleet, relay and ops pass.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -226,13 +226,18 @@
 	if k.List == nil || len(k.List.Entries) == 0 {
 		k.List, k.Told = c.kept.List, c.kept.Told
 	}
+	c.learnt(now, k)
+	c.kept = k
+	text, _ := k.Text() // of plain values
+	return store.Record{Kind: store.Knowing, Boot: c.boot, At: now, Body: text}
+}
+
+// learnt fills in what this life has not learnt yet.
+func (c *Core) learnt(now float64, k *relay.Kept) {
 	if k.Capacity == 0 {
 		k.Capacity, k.LoadMean, k.Categories = c.kept.Capacity, c.kept.LoadMean, c.kept.Categories
 	}
 	k.Capacity = c.bears(now, k)
-	c.kept = k
-	text, _ := k.Text() // of plain values
-	return store.Record{Kind: store.Knowing, Boot: c.boot, At: now, Body: text}
 }
 
 // bears is what a server bears, by what all relays together hold and what the servers say: this relay's own
@@ -277,10 +282,7 @@
 	} else {
 		k.List = c.kept.List
 	}
-	if k.Capacity == 0 {
-		k.Capacity, k.LoadMean, k.Categories = c.kept.Capacity, c.kept.LoadMean, c.kept.Categories
-	}
-	k.Capacity = c.bears(now, k)
+	c.learnt(now, k)
 	k.Back = nil
 	text, _ := json.Marshal(a)
 	return text
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -123,13 +123,12 @@
 	if err := s.engine.Start(); err != nil {
 		return fmt.Errorf("poll: %w", err)
 	}
+	var called net.Listener
 	if t.Ops != "" {
-		called, err := net.Listen("tcp", t.Ops)
-		if err != nil {
+		if called, err = net.Listen("tcp", t.Ops); err != nil {
 			return fmt.Errorf("ops: %w", err)
 		}
 		s.board = newBoard(reducer)
-		go ops.Serve(called, calls{s, s.board}, log)
 	}
 	if s.seat != nil {
 		s.said(s.seat.Takes(s.adopt))
@@ -141,6 +140,9 @@
 		}
 		defer mates.Stop()
 	}
+	if called != nil { // once all that is asked there has begun
+		go ops.Serve(called, calls{s, s.board}, log)
+	}
 	go s.accept()
 	log.Info("serving", "name", t.Name, "listen", s.listener.Addr().String(), "backends", len(t.Known.Entries))
 	var look <-chan time.Time
