--- /dev/null
+++ b/internal/failover/book.go
@@ -0,0 +1,276 @@
+// Package failover decides which zones serve: what the relays of all zones see of each is folded into one
+// picture (Judge), and what was decided is kept as a list of numbered decisions and operators' orders
+// (Book), which the council agrees on. Everything here is a function of what comes in: no disk, socket,
+// clock or log. Times are milliseconds; a share is the part of the work near a zone that it is to serve,
+// from 0 to 1.
+package failover
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// State is what is decided of a zone.
+type State string
+
+// The states. All but home send some of the work elsewhere.
+const (
+	Home      State = "home"
+	Spilling  State = "spilling"  // a share goes elsewhere, as it has no room for it
+	Emptied   State = "emptied"   // nothing new goes there
+	Returning State = "returning" // a share that grows
+)
+
+// Zone is one zone as it is decided.
+type Zone struct {
+	Name, Region string
+	State        State
+	Share        float64
+	To           []Part  `json:",omitempty"` // where the rest goes
+	Left         float64 `json:",omitempty"` // what is left, as nobody has room for it: told to come again
+	Why          string
+}
+
+// Part is how much of the work near a zone goes to another.
+type Part struct {
+	Zone string
+	Part float64
+}
+
+// Order is an operator's: it goes before what is decided automatically, until its end.
+type Order struct {
+	ID          string // the caller's, for the answer
+	Zone        string
+	Do          string // empty, return or hold
+	Until       float64
+	Reason, Who string
+	Force       bool // also where nothing is left to serve
+}
+
+// Command is one entry of the council's list.
+type Command struct {
+	Zones        []Zone             `json:",omitempty"` // the whole picture, as it was judged, and by what
+	Demand, Room map[string]float64 `json:",omitempty"`
+	Order        *Order             `json:",omitempty"`
+	Ends         string             `json:",omitempty"` // an order's ID: it is over
+	Cause        string
+	At           float64 // clock time at who proposed it, for the history
+}
+
+// Entry is one decision as it is remembered.
+type Entry struct {
+	Number  uint64
+	At      float64
+	Cause   string
+	Who     string
+	Refused string // why it has changed nothing
+	Zones   []Zone
+}
+
+const (
+	mostHistory = 30
+	mostZones   = 64
+	mostText    = 200
+)
+
+// Book is what has been decided. It is the council's machine: the same at all voters after the same entries.
+type Book struct {
+	Number  uint64
+	Judged  []Zone // as judged, before orders
+	Orders  []Order
+	Demand  map[string]float64 // near each zone, and what each bears, as the picture was judged
+	Room    map[string]float64
+	History []Entry
+}
+
+// Zones is the picture that holds: what was judged, with the orders on top.
+func (b *Book) Zones() []Zone {
+	all := slices.Clone(b.Judged)
+	for i := range all {
+		z := &all[i]
+		if o := b.order(z.Name); o != nil {
+			z.Why = "order: " + o.Reason
+			switch o.Do {
+			case "empty":
+				z.State, z.Share = Emptied, 0
+			case "return":
+				z.State, z.Share = Home, 1
+			case "hold":
+				z.State, z.Share = b.held(z)
+			}
+		}
+	}
+	if len(b.Orders) > 0 { // what an order moves goes by what was judged of the others' room
+		b.spare(all)
+		direct(all, b.Demand, b.Room)
+	}
+	return all
+}
+
+// spare has the zones that were judged to be empty serve where orders that nobody forced leave no other: a
+// zone that does badly is better than none, and no order is to end service by slip together with what is
+// judged later.
+func (b *Book) spare(all []Zone) {
+	if slices.ContainsFunc(all, func(z Zone) bool { return z.Share > 0 }) ||
+		slices.ContainsFunc(b.Orders, func(o Order) bool { return o.Force }) {
+		return
+	}
+	for i := range all {
+		if z := &all[i]; b.order(z.Name) == nil {
+			z.State, z.Share, z.Why = Home, 1, "no other serves, by the orders; "+z.Why
+		}
+	}
+}
+
+// held is a zone as it was when the order to hold it came.
+func (b *Book) held(z *Zone) (State, float64) {
+	o := b.order(z.Name)
+	for i := len(b.History) - 1; i >= 0; i-- {
+		for _, was := range b.History[i].Zones {
+			if b.History[i].Refused == "" && was.Name == z.Name && b.History[i].Who == o.ID {
+				return was.State, was.Share
+			}
+		}
+	}
+	return z.State, z.Share
+}
+
+func (b *Book) order(zone string) *Order {
+	for i := len(b.Orders) - 1; i >= 0; i-- { // the later number
+		if b.Orders[i].Zone == zone {
+			return &b.Orders[i]
+		}
+	}
+	return nil
+}
+
+// Apply takes the entry of that number, and remembers it.
+func (b *Book) Apply(number uint64, data []byte) {
+	var c Command
+	e := Entry{Number: number}
+	before := b.Zones()
+	switch err := json.Unmarshal(data, &c); {
+	case err != nil:
+		e.Refused = "unreadable"
+	case c.Order != nil:
+		e.Who, e.Refused = c.Order.ID, b.give(*c.Order, before)
+	case c.Ends != "":
+		e.Who = c.Ends
+		n := len(b.Orders)
+		if b.Orders = slices.DeleteFunc(b.Orders,
+			func(o Order) bool { return o.ID == c.Ends }); len(b.Orders) == n {
+			e.Refused = "no such order"
+		}
+	default:
+		if e.Refused = wrongZones(c.Zones); e.Refused == "" {
+			b.Judged, b.Demand, b.Room = c.Zones, c.Demand, c.Room
+			b.Orders = slices.DeleteFunc(b.Orders, func(o Order) bool { return !named(c.Zones, o.Zone) })
+		}
+	}
+	e.At, e.Cause = c.At, short(c.Cause)
+	if e.Zones = b.Zones(); e.Refused == "" {
+		b.Number = number
+	}
+	if c.Order != nil && c.Order.Do == "hold" && e.Refused == "" {
+		e.Zones = before // as it is then is what is held
+	}
+	b.History = append(b.History, e)
+	if len(b.History) > mostHistory {
+		b.History = b.History[len(b.History)-mostHistory:]
+	}
+}
+
+func short(text string) string { return text[:min(len(text), mostText)] }
+
+func named(zones []Zone, name string) bool {
+	return slices.ContainsFunc(zones, func(z Zone) bool { return z.Name == name })
+}
+
+// wrongZones tells why a picture can't be decided by itself: only an operators' order may leave no zone.
+func wrongZones(zones []Zone) string {
+	why := unreadable(zones)
+	if why == "" && !slices.ContainsFunc(zones, func(z Zone) bool { return z.Share > 0 }) {
+		return "no zone would serve"
+	}
+	return why
+}
+
+func unreadable(zones []Zone) string {
+	if len(zones) == 0 || len(zones) > mostZones {
+		return fmt.Sprintf("%d zones", len(zones))
+	}
+	for _, z := range zones {
+		if z.Name == "" || !(z.Share >= 0 && z.Share <= 1) {
+			return fmt.Sprintf("zone %q: share %v", z.Name, z.Share)
+		}
+	}
+	return ""
+}
+
+// give takes an order, or says why not. Judged here and not where it is given: of two that contradict each
+// other the later sees the earlier.
+func (b *Book) give(o Order, zones []Zone) string {
+	if !named(zones, o.Zone) {
+		return "no such zone"
+	}
+	if o.ID == "" || len(o.ID) > mostText || len(o.Reason) > mostText || len(o.Who) > mostText {
+		return "an order has an id, a reason and who gave it, each short"
+	}
+	if slices.ContainsFunc(b.Orders, func(had Order) bool { return had.ID == o.ID }) {
+		return "" // given twice
+	}
+	switch o.Do {
+	case "return", "hold":
+	case "empty":
+		left := slices.ContainsFunc(zones, func(z Zone) bool { return z.Name != o.Zone && z.Share > 0 })
+		if !left && !o.Force {
+			return "no other zone serves; it is to be forced by name"
+		}
+	default:
+		return fmt.Sprintf("empty, return or hold expected, got %q", o.Do)
+	}
+	b.Orders = slices.DeleteFunc(b.Orders, func(had Order) bool { return had.Zone == o.Zone })
+	b.Orders = append(b.Orders, o)
+	return ""
+}
+
+// Ended are the orders whose end has come by that clock.
+func (b *Book) Ended(clock float64) (ids []string) {
+	for _, o := range b.Orders {
+		if o.Until > 0 && clock >= o.Until {
+			ids = append(ids, o.ID)
+		}
+	}
+	return ids
+}
+
+// Answer is what has become of the order of that ID; false: nothing yet.
+func (b *Book) Answer(id string) (Entry, bool) {
+	for _, e := range b.History {
+		if e.Who == id {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Snapshot and Restore are the book as a whole.
+func (b *Book) Snapshot() []byte {
+	text, _ := json.Marshal(b) // of plain values
+	return text
+}
+
+// Restore takes it.
+func (b *Book) Restore(data []byte) error {
+	var had Book
+	if err := json.Unmarshal(data, &had); err != nil {
+		return err
+	}
+	*b = had
+	return nil
+}
+
+// byName has zones in one order at all relays and voters.
+func byName(a, b Zone) int { return cmp.Compare(a.Name, b.Name) }
--- /dev/null
+++ b/internal/failover/evidence.go
@@ -0,0 +1,82 @@
+package failover
+
+import (
+	"encoding/binary"
+	"errors"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Evidence goes to voters in a form of its own, as hundreds of relays tell theirs twice a second: a version, the
+// relay's name and zone, its demand, and each look as a name and six figures. Texts have a length of one byte, figures
+// are float32, all little-endian. Read as JSON they cost three times as much.
+
+const (
+	evidenceForm = 1
+	mostName     = 64
+	lookFigures  = 6
+)
+
+// Text writes it. Names that are too long, and looks beyond what is read, are left out.
+func (e *Evidence) Text() []byte {
+	to := []byte{evidenceForm}
+	text := func(s string) {
+		s = s[:min(len(s), mostName)]
+		to = append(append(to, byte(len(s))), s...)
+	}
+	figure := func(x float64) { to = binary.LittleEndian.AppendUint32(to, math.Float32bits(float32(x))) }
+	text(e.Relay)
+	text(e.Zone)
+	figure(e.Demand)
+	for i, name := range slices.Sorted(maps.Keys(e.Looks)) {
+		if i == mostZones {
+			break
+		}
+		l := e.Looks[name]
+		text(name)
+		for _, x := range [lookFigures]float64{l.Tries, l.Failed, l.Probes, l.Silent, l.Load, l.Room} {
+			figure(x)
+		}
+	}
+	return to
+}
+
+var errEvidence = errors.New("failover: evidence that can't be read")
+
+// ReadEvidence reads it; figures that can't be are refused by whoever hears it.
+func ReadEvidence(data []byte) (e Evidence, err error) {
+	bad := len(data) == 0 || data[0] != evidenceForm
+	text := func() string {
+		if bad = bad || len(data) == 0 || int(data[0]) > mostName || len(data) < 1+int(data[0]); bad {
+			return ""
+		}
+		s := string(data[1 : 1+data[0]])
+		data = data[1+data[0]:]
+		return s
+	}
+	figure := func() float64 {
+		if bad = bad || len(data) < 4; bad {
+			return 0
+		}
+		x := math.Float32frombits(binary.LittleEndian.Uint32(data))
+		data = data[4:]
+		return float64(x)
+	}
+	if !bad {
+		data = data[1:]
+	}
+	e.Relay, e.Zone, e.Demand = text(), text(), figure()
+	e.Looks = map[string]Look{}
+	for !bad && len(data) > 0 {
+		name := text()
+		l := Look{figure(), figure(), figure(), figure(), figure(), figure()}
+		if bad = bad || len(e.Looks) == mostZones; !bad {
+			e.Looks[name] = l
+		}
+	}
+	if bad {
+		return Evidence{}, errEvidence
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/failover/judge.go
@@ -0,0 +1,508 @@
+package failover
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+const (
+	evidenceFor = 3000.0 // that a relay's word on a zone counts
+	leastTries  = 4.0    // at a zone, within what is told of, for a word on it
+	mostVoice   = 3.0    // middle ones, that one relay counts for
+	someViews   = 3
+	badOver     = 0.2 // of the tries, that did not do
+	goodUnder   = 0.08
+	lostOver    = 0.7
+	lostTime    = 1100.0 // a zone is seen as lost, before it is emptied
+	greyTime    = 2000.0 // and as grey, in the mean over so long
+	meanFor     = 1000.0
+	mostMean    = 0.5    // against a moment in which nothing passes being held for a grey zone
+	firstWait   = 4000.0 // it is seen as good, before it returns
+	mostWait    = 120000.0
+	calmAfter   = 60000.0 // without a fall, the waits begin anew
+	stepFor     = 1500.0  // it is seen as good at a share, before the next
+	pressedPace = 0.1     // of those waits, while the other zones are full
+	fullOver    = 0.9     // of what a zone bears, above which a share goes elsewhere
+	fillTo      = 0.8     // of what a zone bears, by what is sent there
+	spillStep   = 0.05    // that a share has to change by
+	leastPart   = 0.001   // of the work near a zone, that is worth a word
+	spillFor    = 1000.0
+)
+
+// returnSteps are the shares by which a zone returns.
+var returnSteps = []float64{0.05, 0.2, 0.5, 1}
+
+// Look is what one relay saw of one zone over the last second or so.
+type Look struct {
+	Tries  float64 // setup tries that ended
+	Failed float64 // of those, without an answer in time, refused or errored
+	Probes float64 // that ended
+	Silent float64 // of those, without an answer
+	Load   float64 // of the zone's servers together, by their own word, in what one of them bears
+	Room   float64 // servers that could serve, the same unit
+}
+
+// Evidence is one relay's word.
+type Evidence struct {
+	Relay, Zone string // and where it is
+	Demand      float64
+	Looks       map[string]Look
+}
+
+type heard struct {
+	Evidence
+	at float64
+}
+
+// health is what is held of a zone over time.
+type health struct {
+	lostSince, badSince float64 // NaN: it is not
+	goodSince           float64
+	mean, meanAt        float64 // of the share that fails: few links tell little at a time
+	fellAt              float64
+	wait                float64
+	step                int
+	stepAt              float64
+	fullSince           float64
+	lost                bool
+}
+
+// Judge folds evidence and proposes what is to be decided, at whoever leads. What it holds is lost with that
+// one: the next begins with what the book says and looks anew.
+type Judge struct {
+	zones   []Zone // names and regions, by the operators' file
+	relays  map[string]heard
+	healths map[string]*health
+	number  map[string]int // of a zone
+	ends    [][]sight      // by the zone that looks and the one looked at: all relays' words, folded once a look
+	rooms   []capacity
+}
+
+type sight struct {
+	links, probes []ended
+	tries         float64
+}
+
+type capacity struct {
+	loads, rooms []float64
+	load, room   float64 // the middle of those
+	demand       float64
+}
+
+// NewJudge judges those zones; states and shares among them say nothing.
+func NewJudge(zones []Zone) *Judge {
+	j := &Judge{relays: map[string]heard{}}
+	j.Over(zones)
+	return j
+}
+
+// Over has those zones judged from now on. What is held of zones that stay, stays; one that comes begins as
+// home, and one that goes leaves the next picture, with the orders on it.
+func (j *Judge) Over(zones []Zone) {
+	had := j.healths
+	j.zones, j.ends, j.healths, j.number = nil, nil, map[string]*health{}, map[string]int{}
+	for _, z := range zones {
+		j.zones = append(j.zones, Zone{Name: z.Name, Region: z.Region, State: Home, Share: 1})
+		if j.healths[z.Name] = had[z.Name]; had[z.Name] == nil {
+			j.healths[z.Name] = &health{lostSince: math.NaN(), badSince: math.NaN(), goodSince: math.NaN(),
+				fellAt: math.Inf(-1), wait: firstWait, fullSince: math.NaN()}
+		}
+	}
+	slices.SortFunc(j.zones, byName)
+	for i, z := range j.zones {
+		j.number[z.Name] = i
+		j.ends = append(j.ends, make([]sight, len(j.zones)))
+	}
+	j.rooms = make([]capacity, len(j.zones))
+	for name, h := range j.relays {
+		if !named(j.zones, h.Zone) {
+			delete(j.relays, name)
+		}
+	}
+}
+
+const mostRelays = 4096
+
+// Hear takes a relay's word. What can't be is passed over.
+func (j *Judge) Hear(now float64, e Evidence) {
+	_, there := j.relays[e.Relay]
+	if !there && len(j.relays) >= mostRelays || e.Relay == "" || !named(j.zones, e.Zone) {
+		return
+	}
+	good := func(x float64) bool { return x >= 0 && x < 1e9 }
+	for _, l := range e.Looks {
+		if !good(l.Tries) || !good(l.Failed) || l.Failed > l.Tries || !good(l.Load) || !good(l.Room) ||
+			!good(l.Probes) || !good(l.Silent) || l.Silent > l.Probes {
+			return
+		}
+	}
+	if good(e.Demand) {
+		j.relays[e.Relay] = heard{e, now}
+	}
+}
+
+// fold puts what all relays say in order, by zones, and forgets who has said nothing of late.
+func (j *Judge) fold(now float64) {
+	for i := range j.zones {
+		for k := range j.zones {
+			e := &j.ends[i][k]
+			e.links, e.probes, e.tries = e.links[:0], e.probes[:0], 0
+		}
+		c := &j.rooms[i]
+		c.loads, c.rooms, c.demand = c.loads[:0], c.rooms[:0], 0
+	}
+	for name, h := range j.relays {
+		if now > h.at+evidenceFor {
+			delete(j.relays, name)
+			continue
+		}
+		from := j.number[h.Zone]
+		j.rooms[from].demand += h.Demand
+		for zone, l := range h.Looks {
+			at, known := j.number[zone]
+			if !known {
+				continue
+			}
+			e, c := &j.ends[from][at], &j.rooms[at]
+			e.links, e.probes = append(e.links, ended{l.Tries, l.Failed}), append(e.probes, ended{l.Probes, l.Silent})
+			if e.tries += l.Tries; l.Room > 0 {
+				c.loads, c.rooms = append(c.loads, l.Load), append(c.rooms, l.Room)
+			}
+		}
+	}
+	for i := range j.rooms { // once a look, as several ask
+		if c := &j.rooms[i]; len(c.rooms) > 0 {
+			c.load, c.room = middle(c.loads), middle(c.rooms)
+		} else {
+			c.load, c.room = 0, 0
+		}
+	}
+}
+
+type ended struct{ all, bad float64 }
+
+// bad is the share that did not do: the middle of what relays say, so that a third of them that lie move
+// nothing; where each sees little, all together, one counting for no more than three middle ones.
+func bad(all []ended) float64 {
+	var shares, sizes []float64
+	for _, e := range all {
+		if sizes = append(sizes, e.all); e.all >= leastTries {
+			shares = append(shares, e.bad/e.all)
+		}
+	}
+	if 2*len(shares) > len(all) {
+		return middle(shares)
+	}
+	if len(all) == 0 {
+		return math.NaN()
+	}
+	most := max(mostVoice*middle(sizes), 1)
+	sum, failed := 0.0, 0.0
+	for _, e := range all {
+		if e.all > 0 {
+			part := min(e.all, most) / e.all
+			sum, failed = sum+part*e.all, failed+part*e.bad
+		}
+	}
+	if sum < leastTries {
+		return math.NaN()
+	}
+	return failed / sum
+}
+
+func middle(all []float64) float64 {
+	slices.Sort(all)
+	return (all[(len(all)-1)/2] + all[len(all)/2]) / 2
+}
+
+// seen is a zone by all views, NaN where they are too few: by probes the middle of them, so that one broken
+// way is none of the zone's; by links the same where some zones send there, else weighed by their tries: as
+// traffic stays near, its own zone's may be all there is.
+func (j *Judge) seen(at int) float64 {
+	var byLinks, byProbes []float64
+	sum, failed, own := 0.0, 0.0, false
+	for from := range j.zones {
+		e := &j.ends[from][at]
+		links, probes := bad(e.links), bad(e.probes)
+		if !math.IsNaN(links) {
+			byLinks = append(byLinks, links)
+			sum, failed, own = sum+e.tries, failed+links*e.tries, own || from == at
+		}
+		if !math.IsNaN(probes) {
+			byProbes = append(byProbes, probes)
+		}
+	}
+	links, probes := math.NaN(), math.NaN()
+	if least := min(2, len(j.zones)); len(byProbes) >= least {
+		probes = middle(byProbes)
+	}
+	if len(byLinks) >= someViews {
+		links = middle(byLinks)
+	} else if own && sum > 0 {
+		links = failed / sum
+	}
+	if math.IsNaN(links) || probes > links {
+		return probes
+	}
+	return links
+}
+
+// Judge gives the picture to be decided where it is another than the one that holds, and why.
+func (j *Judge) Judge(now float64, book *Book) (c Command, changed bool) {
+	j.fold(now)
+	held := map[string]Zone{}
+	for _, z := range book.Judged {
+		held[z.Name] = z
+	}
+	bad := map[string]float64{}
+	worst := 0
+	for i, z := range j.zones {
+		b, h := j.seen(i), j.healths[z.Name]
+		if !math.IsNaN(b) {
+			h.mean += (min(b, mostMean) - h.mean) * (1 - math.Exp((h.meanAt-now)/meanFor))
+		}
+		h.meanAt = now
+		bad[z.Name] = b
+		if b > badOver || h.mean > badOver {
+			worst++
+		}
+	}
+	alike := 2*worst > len(j.zones) // a cause that they have in common, as a store that is slow for all
+	var emptied []Zone
+	for _, z := range book.Judged {
+		if z.State == Emptied {
+			emptied = append(emptied, z)
+		}
+	}
+	pace := 1.0
+	if j.pressed(book.Judged) {
+		pace = pressedPace
+	}
+	changed = len(book.Judged) != len(j.zones)
+	c.Demand, c.Room = map[string]float64{}, map[string]float64{}
+	for i, z := range j.zones {
+		c.Demand[z.Name] = j.rooms[i].demand
+		if _, room := j.load(z.Name); room > 0 {
+			c.Room[z.Name] = room
+		}
+		was, there := held[z.Name]
+		if !there {
+			was, changed = z, true
+		}
+		was.Region = z.Region
+		next, why := j.next(now, was, bad[z.Name], alike, j.may(was, emptied, bad), pace)
+		if next.State != was.State || next.Share != was.Share {
+			changed, c.Cause = true, fmt.Sprintf("%s %s: %s", z.Name, next.State, why)
+			next.Why = why
+			if next.State == Emptied {
+				emptied = append(emptied, next)
+			}
+		}
+		c.Zones = append(c.Zones, next)
+	}
+	if j.spills(now, c.Zones, c.Demand) {
+		changed, c.Cause = true, cmp.Or(c.Cause, "room")
+	}
+	c.Cause = cmp.Or(c.Cause, "the zones of the file")
+	direct(c.Zones, c.Demand, c.Room)
+	return c, changed && wrongZones(c.Zones) == ""
+}
+
+// may tells whether a zone may be emptied beside those that are: up to a third of all, or one region whole
+// where there is another that is good. Against one trouble emptying zone after zone.
+func (j *Judge) may(z Zone, emptied []Zone, bad map[string]float64) bool {
+	if len(emptied)+1 <= max(1, len(j.zones)/3) {
+		return len(emptied)+1 < len(j.zones)
+	}
+	same := !slices.ContainsFunc(emptied, func(e Zone) bool { return e.Region != z.Region })
+	return same && slices.ContainsFunc(j.zones, func(o Zone) bool {
+		return o.Region != z.Region && bad[o.Name] < goodUnder
+	})
+}
+
+// pressed tells whether the zones that are home are full together, so that a zone that waits costs service.
+func (j *Judge) pressed(zones []Zone) bool {
+	load, room := 0.0, 0.0
+	for _, z := range zones {
+		if z.State == Home {
+			l, r := j.load(z.Name)
+			load, room = load+l, room+r
+		}
+	}
+	return load > fillTo*room
+}
+
+// next is what becomes of one zone. Returns go at that part of the usual waits: faster where the others are
+// full.
+func (j *Judge) next(now float64, z Zone, bad float64, alike, may bool,
+	pace float64) (Zone, string) {
+	h := j.healths[z.Name]
+	since := func(at *float64, on bool) float64 {
+		if !on {
+			*at = math.NaN()
+			return 0
+		}
+		if math.IsNaN(*at) {
+			*at = now
+		}
+		return now - *at
+	}
+	lostFor := since(&h.lostSince, bad > lostOver && !alike)
+	badFor := since(&h.badSince, h.mean > badOver && bad > goodUnder && !alike)
+	goodFor := since(&h.goodSince, bad < goodUnder)
+	falls := lostFor >= lostTime || badFor >= greyTime
+	switch z.State {
+	case Home, Spilling, Returning:
+		if falls && may {
+			if now > h.fellAt+calmAfter {
+				h.wait = firstWait
+			} else {
+				h.wait = min(2*h.wait, mostWait)
+			}
+			h.fellAt = now
+			return with(z, Emptied, 0), fmt.Sprintf("%.0f%% of tries fail", 100*bad)
+		}
+		if z.State != Returning || goodFor < pace*stepFor || now < h.stepAt+pace*stepFor {
+			return z, ""
+		}
+		for _, share := range returnSteps {
+			if share > z.Share {
+				h.stepAt = now
+				if share == 1 {
+					return with(z, Home, 1), "returned"
+				}
+				return with(z, Returning, share), "returns by steps"
+			}
+		}
+	case Emptied:
+		if goodFor > 0 && goodFor >= pace*h.wait {
+			h.stepAt = now
+			return with(z, Returning, returnSteps[0]), fmt.Sprintf("good for %.0f s", goodFor/1000)
+		}
+	}
+	return z, ""
+}
+
+func with(z Zone, s State, share float64) Zone {
+	z.State, z.Share = s, share
+	return z
+}
+
+// load is a zone's, and what it bears: the middle of what relays say.
+func (j *Judge) load(zone string) (load, room float64) {
+	if i, known := j.number[zone]; known {
+		return j.rooms[i].load, j.rooms[i].room
+	}
+	return 0, 0
+}
+
+// spills has zones that are too full send a share elsewhere, and those that have room again take it back.
+func (j *Judge) spills(now float64, zones []Zone, demands map[string]float64) (changed bool) {
+	for i := range zones {
+		z, h := &zones[i], j.healths[zones[i].Name]
+		if z.State != Home && z.State != Spilling {
+			continue
+		}
+		load, room := j.load(z.Name)
+		demand := demands[z.Name]
+		if room == 0 || demand == 0 {
+			continue
+		}
+		share := 1.0
+		if load > fullOver*room || z.State == Spilling {
+			share = min(fillTo*room/demand, 1)
+		}
+		if math.Abs(share-z.Share) < spillStep && !(share == 1 && z.Share < 1) {
+			h.fullSince = math.NaN()
+			continue
+		}
+		if math.IsNaN(h.fullSince) {
+			h.fullSince = now
+		}
+		if now < h.fullSince+spillFor || !elsewhere(zones, i) {
+			continue
+		}
+		h.fullSince, changed = math.NaN(), true
+		if *z = with(*z, Spilling, share); share == 1 {
+			*z = with(*z, Home, 1)
+		}
+		z.Why = fmt.Sprintf("it has room for %.0f%% of what is near", 100*share)
+	}
+	return changed
+}
+
+func elsewhere(zones []Zone, i int) bool {
+	for k, z := range zones {
+		if k != i && z.State == Home {
+			return true
+		}
+	}
+	return false
+}
+
+// direct says where the rest of the work near each zone goes: to zones that are home, of the same region
+// first, as far as they have room; what nobody has room for is left. Where nothing is known of room, evenly.
+func direct(zones []Zone, demand, room map[string]float64) {
+	spare := map[string]float64{}
+	for i := range zones {
+		z := &zones[i]
+		z.To, z.Left = nil, 0
+		if z.State == Home {
+			spare[z.Name] = max(fillTo*room[z.Name]-demand[z.Name], 0)
+		}
+	}
+	for _, near := range []bool{true, false} {
+		for i := range zones {
+			z := &zones[i]
+			left := 1 - z.Share
+			for _, p := range z.To {
+				left -= p.Part
+			}
+			if left < leastPart {
+				continue
+			}
+			var to []int
+			sum, known := 0.0, false
+			for k, o := range zones {
+				if k != i && o.State == Home && (o.Region == z.Region) == near {
+					to = append(to, k)
+					sum += spare[o.Name]
+					known = known || room[o.Name] > 0
+				}
+			}
+			known = known && demand[z.Name] > 0
+			goes := left
+			if known {
+				goes = min(left, sum/demand[z.Name])
+			}
+			for _, k := range to {
+				part := goes / float64(len(to))
+				if known {
+					part = goes * spare[zones[k].Name] / max(sum, 1e-9)
+				}
+				if part >= leastPart {
+					z.To = append(z.To, Part{zones[k].Name, part})
+				}
+			}
+			if known {
+				for _, p := range z.To[len(z.To)-min(len(z.To), len(to)):] {
+					if slices.ContainsFunc(to, func(k int) bool { return zones[k].Name == p.Zone }) {
+						spare[p.Zone] -= p.Part * demand[z.Name]
+					}
+				}
+			}
+		}
+	}
+	for i := range zones {
+		z := &zones[i]
+		left := 1 - z.Share
+		for _, p := range z.To {
+			left -= p.Part
+		}
+		if left >= leastPart {
+			z.Left = left
+		}
+	}
+}
