Holdings: what a relay gives its word for lies on several disks before it is said

Need: places told to clients and operators' orders live in one process and on one disk; with the machine they are gone and nobody knows which.

Ruled out: shards with Raft groups and chains (members are decided anew after each loss, just as the fleet recovers), f + 1 copies (the last one can't tell "lost" from "cut off"). Taken: holders drawn a record, n = 2f + 1, one decree of Paxos to use it once.

--- /dev/null
+++ b/internal/holdings/holdings.go
@@ -0,0 +1,825 @@
+// Package holdings has what a relay holds for others lie at several of them. A record is promised once it is
+// on the disks of all its holders, which were drawn for it when it was made and never change; so many of them
+// may be lost then, with their disks, as are fewer than half. What may be used once is taken by agreement of
+// over half of its holders (Paxos with one decree a record), so that nobody has to know who is gone, in a
+// split either. It touches no disk, socket or clock: messages, times and members come in; what is to be
+// saved, sent and told goes out, and what rests on a save waits for it. Times are milliseconds of the fleet's
+// clock.
+package holdings
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand"
+	"slices"
+)
+
+// Kind is what is held. Their numbers are on disks and ways: none is ever given another meaning.
+type Kind uint8
+
+// The kinds.
+const (
+	Place    Kind = iota + 1 // of a client that was told to come again; used once, by its key
+	Order                    // an operators' one, by the relay it was given; the highest version holds
+	lastKind                 // none
+)
+
+// once tells whether a record of that kind is used up by whoever takes it.
+func (k Kind) once() bool { return k == Place }
+
+func (k Kind) String() string { return [...]string{"", "places", "orders"}[k] }
+
+// Holder is a relay in one of its lives. What was sent to it for another life is not taken in.
+type Holder struct {
+	Name string
+	Life uint64
+}
+
+// Record is one thing held.
+type Record struct {
+	Kind    Kind
+	Key     string
+	ID      uint64 // drawn by its owner
+	Version uint64
+	Owner   string
+	At, End float64 // what it is about, and until when it holds
+	Body    []byte
+	Holders []Holder
+}
+
+// Member is a relay that can hold something, this one among them. One that leaves is given nothing new.
+type Member struct {
+	Name, Zone, Address string
+	Life                uint64
+	Leaves              bool
+}
+
+const (
+	mostCopies  = 7
+	moreAsked   = 3      // members beyond its holders that are asked for a record, as views of who lives differ
+	againEvery  = 4.0    // ms, until what got no answer is sent again, at first
+	mostAgain   = 200.0  // and at the most
+	mostOut     = 4096   // things asked for here that are under way
+	mostEnd     = 3.6e6  // ahead, that a record may end
+	keptPast    = 5000.0 // its end, that a record is remembered as ended or used
+	seekFor     = 1000.0 // that one seeks and takes
+	early       = 300.0  // before the time that a place is for, at which it may be taken
+	jumps       = 5000.0 // between two ticks: the clock was set, or the process stopped
+	tellTimes   = 3      // that finders are told, once members have changed
+	tellEvery   = 300.0
+	tellMost    = 100 // records at once: a pace that gives way to all else
+	ballotTries = 6
+	used        = "it is used"
+	never       = "it was not promised"
+)
+
+// ballot orders those who would take a record. Each errand draws a token, so that no two ever have one
+// ballot.
+type ballot struct{ Round, Token uint64 }
+
+func (b ballot) compare(o ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Token, o.Token))
+}
+
+// holding is a record as a holder has it, and what that has said of it.
+type holding struct {
+	Record
+	Bound ballot // lower ones are refused
+	Taken ballot // zero: nobody's
+	By    uint64 // token of the errand whose it is then
+}
+
+// open tells whether the record is there for who seeks it: neither taken by somebody nor shut.
+func (h *holding) open() bool { return h.Taken == (ballot{}) && h.Bound.Round < math.MaxUint64 }
+
+// Act is what is to be done, one field at a time.
+type Act struct {
+	To   string // address that Data is to be sent to
+	Data []byte
+	Save *Save
+	Done *Outcome
+}
+
+// Save is to be durable before Saved is called with it: Body under Name; none: it is taken back.
+type Save struct {
+	Name  string
+	Body  []byte
+	sends []Act
+	mine  []message // answers that this relay gives itself
+}
+
+// Outcome tells what has become of what was asked for.
+type Outcome struct {
+	Token  uint64
+	OK     bool // all holders have it; or it is this relay's to use
+	Record Record
+	Why    string
+}
+
+// Counts are what operators are told.
+type Counts struct {
+	Held, Full                            uint64 // for others: taken in; refused for want of room
+	Promised, Refused                     uint64 // of what this relay wanted held
+	Sought, Took, Again, Missed, Accepted uint64 // Again: found used; Missed: found, and not got in time
+}
+
+// Faults are wrong on purpose, for tests of the checks.
+type Faults struct {
+	Early   bool // says that it holds something before it is saved
+	Doubled bool // counts one holder's word twice
+	Forgets bool // drops a used record at once
+}
+
+// Core is one relay's part, as a holder and as one that has others hold.
+type Core struct {
+	name    string
+	life    uint64
+	copies  int
+	most    int // records held here
+	chance  *rand.Rand
+	members []Member
+	records map[uint64]*holding
+	byKey   map[string][]uint64
+	ends    map[int64][]uint64 // by second
+	hints   map[string]Record  // of others that hold something, by its key
+	walk    []uint64           // records whose finders are to be told of them, as members have changed
+	walks   int                // and so many times more
+	walkAt  float64
+	swept   int64
+	ticked  float64
+	out     map[uint64]*errand
+	mute    bool
+	Counts  Counts
+	faults  Faults
+}
+
+// errand is something that others are asked for.
+type errand struct {
+	token  uint64
+	step   what // put, seek, bind or accept
+	record Record
+	until  float64
+	next   float64
+	wait   float64
+	asked  []Member
+	said   map[string]message
+	round  uint64
+	by     uint64 // whose it is to be: another's, where that may have been decided
+	tries  int
+}
+
+// New starts with nothing held: the relay's name, this life's number, how many copies are made (1, 3, 5 or 7)
+// and how many records are held here at the most.
+func New(name string, life uint64, copies, most int, chance *rand.Rand) *Core {
+	return &Core{name: name, life: life, copies: copies, most: most, chance: chance,
+		records: map[uint64]*holding{},
+		byKey:   map[string][]uint64{}, ends: map[int64][]uint64{}, hints: map[string]Record{},
+		out: map[uint64]*errand{}}
+}
+
+func keyOf(k Kind, key string) string { return string(rune(k)) + key }
+
+// nameOf is what a record is kept under.
+func nameOf(id uint64) string { return fmt.Sprintf("%016x", id) }
+
+// Load takes what the disk has, under that name; false: it can't be read, or is over.
+func (c *Core) Load(now float64, name string, body []byte) bool {
+	m, err := readMessage(body)
+	if err != nil || m.What != bound || len(m.Records) != 1 {
+		return false
+	}
+	h := &holding{Record: m.Records[0], Bound: m.Ballot, Taken: m.Taken, By: m.By}
+	if nameOf(h.ID) != name || !h.right(now) || h.End+keptPast < now {
+		return false
+	}
+	if c.records[h.ID] == nil {
+		c.add(h)
+	}
+	return true
+}
+
+// Mute has this relay hold nothing new and say nothing of what it holds: its disk is not known to be the one
+// that it has spoken by, or another process has its name.
+func (c *Core) Mute(on bool) { c.mute = on }
+
+// Forget drops all that is held: the disk is an older one. What it would say might contradict what it has
+// said.
+func (c *Core) Forget() (acts []Act) {
+	for id := range c.records {
+		acts = append(acts, Act{Save: &Save{Name: nameOf(id)}})
+	}
+	c.records, c.byKey, c.ends = map[uint64]*holding{}, map[string][]uint64{}, map[int64][]uint64{}
+	return acts
+}
+
+func (r *Record) right(now float64) bool {
+	return r.ID != 0 && r.Key != "" && len(r.Key) <= mostKey && len(r.Body) <= mostBody && len(r.Holders) > 0 &&
+		len(r.Holders) <= mostCopies && r.End < now+mostEnd
+}
+
+func (c *Core) add(h *holding) {
+	c.records[h.ID] = h
+	key := keyOf(h.Kind, h.Key)
+	c.byKey[key] = append(c.byKey[key], h.ID)
+	second := int64((h.End + keptPast) / 1000)
+	c.ends[second] = append(c.ends[second], h.ID)
+}
+
+func (c *Core) drop(id uint64) {
+	h := c.records[id]
+	if h == nil {
+		return
+	}
+	delete(c.records, id)
+	key := keyOf(h.Kind, h.Key)
+	c.byKey[key] = slices.DeleteFunc(c.byKey[key], func(other uint64) bool { return other == id })
+	if len(c.byKey[key]) == 0 {
+		delete(c.byKey, key)
+	}
+}
+
+// Members takes who can hold something now, this relay too. Where they are others than before, whoever seeks
+// a record may ask others than those that hold it: those are told where it is.
+func (c *Core) Members(all []Member) {
+	if slices.EqualFunc(all, c.members, func(a, b Member) bool { return a.Name == b.Name }) {
+		c.members = all
+		return
+	}
+	c.members, c.walks, c.walk = all, tellTimes, nil
+}
+
+// points tells some of those who will be asked for what is held here, and don't hold it themselves.
+func (c *Core) points(now float64) (acts []Act) {
+	if len(c.walk) == 0 {
+		if c.walks == 0 || now < c.walkAt || c.mute {
+			return nil
+		}
+		c.walks--
+		c.walkAt = now + tellEvery
+		for id, h := range c.records {
+			if h.open() {
+				c.walk = append(c.walk, id)
+			}
+		}
+		slices.Sort(c.walk)
+	}
+	n := min(tellMost, len(c.walk))
+	for _, id := range c.walk[:n] {
+		h := c.records[id]
+		if h == nil || h.End <= now {
+			continue
+		}
+		var text []byte
+		for _, m := range c.rank(h.Key, c.copies, true) {
+			if slices.ContainsFunc(h.Holders, func(o Holder) bool { return o.Name == m.Name }) {
+				continue
+			}
+			if text == nil {
+				text = (&message{What: point, From: c.name, Life: c.life, Records: []Record{h.Record}}).text()
+			}
+			acts = append(acts, Act{To: m.Address, Data: text})
+		}
+	}
+	c.walk = c.walk[n:]
+	return acts
+}
+
+// leaves tells whether this relay is to be given nothing new.
+func (c *Core) leaves() bool {
+	return slices.ContainsFunc(c.members, func(m Member) bool { return m.Name == c.name && m.Leaves })
+}
+
+// Able tells whether there are members enough for a promise.
+func (c *Core) Able() bool { return len(c.rank("", c.copies, false)) >= c.copies }
+
+// rank has members in the order in which they hold what has that key: by lot, the same at all relays, and
+// such that no zone comes twice before all have come once. Against a zone lost with most copies.
+func (c *Core) rank(key string, n int, leaving bool) (all []Member) {
+	type drawn struct {
+		Member
+		lot uint64
+	}
+	byZone := map[string][]drawn{}
+	for _, m := range c.members {
+		if m.Leaves && !leaving {
+			continue
+		}
+		h := fnv.New64a()
+		h.Write([]byte(key))
+		h.Write([]byte{0})
+		h.Write([]byte(m.Name))
+		sum := h.Sum64()
+		sum ^= sum >> 33 // names that differ in their end alone come out side by side
+		sum *= 0xff51afd7ed558ccd
+		byZone[m.Zone] = append(byZone[m.Zone], drawn{m, sum ^ sum>>33})
+	}
+	var zones [][]drawn
+	for _, z := range byZone {
+		slices.SortFunc(z, func(a, b drawn) int {
+			return cmp.Or(cmp.Compare(a.lot, b.lot), cmp.Compare(a.Name, b.Name))
+		})
+		zones = append(zones, z)
+	}
+	slices.SortFunc(zones, func(a, b []drawn) int {
+		return cmp.Or(cmp.Compare(a[0].lot, b[0].lot), cmp.Compare(a[0].Name, b[0].Name))
+	})
+	for round := 0; len(all) < n; round++ {
+		any := false
+		for _, z := range zones {
+			if round < len(z) && len(all) < n {
+				all, any = append(all, z[round].Member), true
+			}
+		}
+		if !any {
+			break
+		}
+	}
+	return all
+}
+
+// Put has a record held by as many as copies are made, and tells within that time whether it is.
+func (c *Core) Put(now float64, r Record, within float64) (token uint64, acts []Act) {
+	token = c.chance.Uint64() | 1
+	r.ID, r.Owner, r.Holders = c.chance.Uint64()|1, c.name, nil
+	holders := c.rank(r.Key, c.copies, false)
+	for _, m := range holders {
+		r.Holders = append(r.Holders, Holder{m.Name, m.Life})
+	}
+	why := ""
+	switch {
+	case len(holders) < c.copies:
+		why = fmt.Sprintf("%d relays are there for %d copies", len(holders), c.copies)
+	case !r.right(now) || r.End <= now:
+		why = "it can't be held"
+	case len(c.out) >= mostOut:
+		why = "too much is under way"
+	}
+	if why != "" {
+		c.Counts.Refused++
+		return token, []Act{{Done: &Outcome{Token: token, Record: r, Why: why}}}
+	}
+	e := &errand{token: token, step: put, record: r, until: now + within, asked: holders}
+	return token, c.begin(now, e)
+}
+
+// Release tells those who hold a record of this relay's to forget it, as it is held anew by others.
+func (c *Core) Release(r Record) (acts []Act) {
+	m := message{What: dropped, From: c.name, Life: c.life, Records: []Record{r}}
+	for _, to := range c.members {
+		switch held := slices.ContainsFunc(r.Holders, func(h Holder) bool { return h.Name == to.Name }); {
+		case held && to.Name == c.name:
+			acts = append(acts, c.asked(0, "", m)...)
+		case held:
+			acts = append(acts, Act{To: to.Address, Data: m.text()})
+		}
+	}
+	return acts
+}
+
+// Take has this relay seek a record by its key, and use it, if nobody has.
+func (c *Core) Take(now float64, kind Kind, key string) (token uint64, acts []Act) {
+	c.Counts.Sought++
+	return c.seek(now, kind, key)
+}
+
+// Read seeks the latest version of a record that is not used up by it.
+func (c *Core) Read(now float64, kind Kind, key string) (token uint64, acts []Act) {
+	return c.seek(now, kind, key)
+}
+
+func (c *Core) seek(now float64, kind Kind, key string) (token uint64, acts []Act) {
+	token = c.chance.Uint64() | 1
+	e := &errand{token: token, step: seek, record: Record{Kind: kind, Key: key}, until: now + seekFor,
+		asked: c.rank(key, c.copies+moreAsked, true)}
+	if len(c.out) >= mostOut || len(e.asked) == 0 || key == "" || len(key) > mostKey {
+		return token, []Act{{Done: &Outcome{Token: token, Record: e.record, Why: "nobody can be asked"}}}
+	}
+	return token, c.begin(now, e)
+}
+
+func (c *Core) begin(now float64, e *errand) []Act {
+	c.out[e.token] = e
+	e.said, e.wait = map[string]message{}, againEvery
+	return c.sends(now, e)
+}
+
+// sends asks those who have not answered.
+func (c *Core) sends(now float64, e *errand) (acts []Act) {
+	e.next = now + e.wait
+	e.wait = min(2*e.wait, mostAgain)
+	m := message{What: e.step, Token: e.token, From: c.name, Life: c.life, Records: []Record{e.record}}
+	if e.step == bind || e.step == accept {
+		m.Ballot, m.By = ballot{e.round, e.token}, e.by
+	}
+	var text []byte
+	for _, to := range e.asked {
+		if _, there := e.said[to.Name]; there {
+			continue
+		}
+		if to.Name == c.name {
+			acts = append(acts, c.asked(now, "", m)...)
+			if c.out[e.token] != e || e.step != m.What {
+				return acts // its own word was the last that was missing
+			}
+			continue
+		}
+		if text == nil {
+			text = m.text()
+		}
+		acts = append(acts, Act{To: to.Address, Data: text})
+	}
+	return acts
+}
+
+// Heard takes a message from an address.
+func (c *Core) Heard(now float64, from string, data []byte) ([]Act, error) {
+	m, err := readMessage(data)
+	if err != nil {
+		return nil, err
+	}
+	switch m.What {
+	case put, seek, bind, accept, dropped, point:
+		return c.asked(now, from, m), nil
+	}
+	return c.said(now, m), nil
+}
+
+// asked is a holder's side. What it answers waits until what it rests on is durable.
+func (c *Core) asked(now float64, from string, m message) []Act {
+	if c.mute || len(m.Records) != 1 {
+		return nil
+	}
+	r := m.Records[0]
+	back := message{Token: m.Token, From: c.name, Life: c.life, Ballot: m.Ballot}
+	switch m.What {
+	case put:
+		return c.hold(now, from, r, back)
+	case seek:
+		back.What = found
+		for _, id := range c.byKey[keyOf(r.Kind, r.Key)] {
+			h := c.records[id]
+			if h.End > now && len(back.Records) < mostRecords && h.open() {
+				back.Records = append(back.Records, h.Record)
+			}
+		}
+		if hint, there := c.hints[keyOf(r.Kind, r.Key)]; there && hint.End > now && len(back.Records) == 0 {
+			back.Records = append(back.Records, hint)
+		}
+		return c.answer(now, from, back, nil)
+	case point:
+		key := keyOf(r.Kind, r.Key)
+		was, there := c.hints[key]
+		if r.right(now) && r.End > now && (there || len(c.hints) < c.most) && r.Version >= was.Version {
+			c.hints[key] = r
+		}
+		return nil
+	case dropped:
+		if h := c.records[r.ID]; h != nil && h.Owner == m.From {
+			if h.Kind.once() {
+				return c.shut(h)
+			}
+			c.drop(h.ID)
+			return []Act{{Save: &Save{Name: nameOf(h.ID)}}}
+		}
+		return nil
+	}
+	h := c.records[r.ID]
+	if h == nil || !h.Kind.once() {
+		return nil // it holds no such thing, and has no word on it
+	}
+	if back.Ballot = h.Bound; m.Ballot.compare(h.Bound) < 0 {
+		back.What = refuse
+		return c.answer(now, from, back, nil)
+	}
+	h.Bound, back.Ballot = m.Ballot, m.Ballot
+	if m.What == bind {
+		back.What, back.Taken, back.By = bound, h.Taken, h.By
+	} else {
+		h.Taken, h.By, back.What = m.Ballot, m.By, accepted
+		c.Counts.Accepted++
+	}
+	save := c.saves(h)
+	if c.faults.Forgets && m.What == accept {
+		h.Bound, h.Taken, h.By = ballot{}, ballot{}, 0
+	}
+	return c.answer(now, from, back, save)
+}
+
+// shut has nobody take a record that was not promised. It stays until its end, against a copy of it that
+// comes late being held and taken as if nothing had been; and what was accepted stays accepted.
+func (c *Core) shut(h *holding) []Act {
+	h.Bound = ballot{math.MaxUint64, 0}
+	return []Act{{Save: c.saves(h)}}
+}
+
+// hold takes a record in, where it is meant for this life. One that is there already is not changed: its
+// answer is given again. Of a kind that holds by its version an older one makes room.
+func (c *Core) hold(now float64, from string, r Record, back message) []Act {
+	back.What = held
+	if h := c.records[r.ID]; h != nil {
+		return c.answer(now, from, back, c.saves(h)) // the first may not be durable yet
+	}
+	if back.What = refuse; len(c.records) >= c.most {
+		c.Counts.Full++
+		return c.answer(now, from, back, nil)
+	}
+	if c.leaves() || !r.right(now) || r.End <= now || !slices.Contains(r.Holders, Holder{c.name, c.life}) {
+		return c.answer(now, from, back, nil)
+	}
+	back.What = held
+	h := &holding{Record: r}
+	var acts []Act
+	if !r.Kind.once() {
+		for _, id := range slices.Clone(c.byKey[keyOf(r.Kind, r.Key)]) {
+			if c.records[id].Version <= r.Version {
+				c.drop(id)
+				acts = append(acts, Act{Save: &Save{Name: nameOf(id)}})
+			}
+		}
+	}
+	c.add(h)
+	c.Counts.Held++
+	return append(c.answer(now, from, back, c.saves(h)), acts...) // the older one goes once the newer is there
+}
+
+func (c *Core) saves(h *holding) *Save {
+	m := message{What: bound, From: c.name, Life: c.life, Ballot: h.Bound, Taken: h.Taken, By: h.By,
+		Records: []Record{h.Record}}
+	return &Save{Name: nameOf(h.ID), Body: m.text()}
+}
+
+// answer sends what a holder says, once what it rests on is durable; to this relay itself as well.
+func (c *Core) answer(now float64, from string, m message, save *Save) []Act {
+	if save == nil || c.faults.Early {
+		var acts []Act
+		if save != nil {
+			acts = append(acts, Act{Save: save})
+		}
+		if from == "" {
+			return append(acts, c.said(now, m)...)
+		}
+		return append(acts, Act{To: from, Data: m.text()})
+	}
+	if from == "" {
+		save.mine = append(save.mine, m)
+	} else {
+		save.sends = append(save.sends, Act{To: from, Data: m.text()})
+	}
+	return []Act{{Save: save}}
+}
+
+// Saved says that a save is durable; one that failed is never told of, and nothing that rests on it is said.
+func (c *Core) Saved(now float64, s *Save) []Act {
+	acts := s.sends
+	for _, m := range s.mine {
+		acts = append(acts, c.said(now, m)...)
+	}
+	return acts
+}
+
+// said takes an answer.
+func (c *Core) said(now float64, m message) []Act {
+	e := c.out[m.Token]
+	if e == nil || !slices.ContainsFunc(e.asked, func(a Member) bool { return a.Name == m.From }) {
+		return nil
+	}
+	fits := map[what][]what{put: {held, refuse}, seek: {found}, bind: {bound, refuse},
+		accept: {accepted, refuse}}
+	if !slices.Contains(fits[e.step], m.What) {
+		return nil
+	}
+	mine := ballot{e.round, e.token}
+	if (e.step == bind || e.step == accept) && m.What != refuse && m.Ballot != mine {
+		return nil // of a former round
+	}
+	if e.step == put && !slices.Contains(e.record.Holders, Holder{m.From, m.Life}) {
+		return nil // another life, or another process under its name
+	}
+	if _, there := e.said[m.From]; there {
+		if !c.faults.Doubled {
+			return nil
+		}
+		m.From += "'"
+	}
+	e.said[m.From] = m
+	return c.goOn(now, e)
+}
+
+// goOn looks whether an errand has all that it waits for.
+func (c *Core) goOn(now float64, e *errand) []Act {
+	count := func(w what) (n int) {
+		for _, m := range e.said {
+			if m.What == w {
+				n++
+			}
+		}
+		return n
+	}
+	n := len(e.record.Holders)
+	switch e.step {
+	case put:
+		if count(refuse) > 0 {
+			return c.fails(e, "a holder refuses")
+		}
+		if count(held) >= n {
+			return c.done(e, true, "")
+		}
+	case seek:
+		return c.picks(now, e)
+	case bind, accept:
+		if count(refuse) > 0 {
+			return c.outbid(now, e)
+		}
+		if e.step == bind && 2*count(bound) > n {
+			return c.binds(now, e)
+		}
+		if 2*count(accepted) > n && e.by != e.token {
+			return c.done(e, false, used)
+		}
+		if 2*count(accepted) > n {
+			return c.done(e, true, "")
+		}
+	}
+	return nil
+}
+
+// picks goes on with what was found. A record that is used once is taken as soon as anybody holds it; one
+// that holds by its version is read at a majority of those who may have it.
+func (c *Core) picks(now float64, e *errand) []Act {
+	var best *Record
+	for _, m := range e.said {
+		for i := range m.Records {
+			if r := &m.Records[i]; r.Kind == e.record.Kind && r.Key == e.record.Key && r.right(now+mostEnd) &&
+				(best == nil || r.Version > best.Version || (r.Version == best.Version && r.ID < best.ID)) {
+				best = r
+			}
+		}
+	}
+	all := len(e.said) == len(e.asked)
+	switch {
+	case best == nil && !all:
+		return nil
+	case best == nil:
+		return c.done(e, false, "nobody holds it")
+	case !best.Kind.once():
+		if !all {
+			return nil // a later one may be at those who have not answered: at the errand's end this is what there is
+		}
+		e.record = *best
+		return c.done(e, true, "")
+	}
+	if now < best.At-early {
+		return c.done(e, false, "it comes too early") // and may have its place when it comes again
+	}
+	e.record, e.asked = *best, nil
+	for _, h := range best.Holders {
+		for _, m := range c.members {
+			if m.Name == h.Name {
+				e.asked = append(e.asked, m)
+			}
+		}
+	}
+	e.step, e.round = bind, 1
+	return c.begin(now, e)
+}
+
+// outbid goes on in a higher ballot, for a while.
+func (c *Core) outbid(now float64, e *errand) []Act {
+	if e.tries++; e.tries >= ballotTries {
+		return c.done(e, false, "others take it")
+	}
+	for _, m := range e.said {
+		if m.What == refuse && m.Ballot.Round == math.MaxUint64 {
+			return c.done(e, false, never)
+		}
+		e.round = max(e.round, m.Ballot.Round)
+	}
+	e.round++
+	e.step = bind
+	// By chance after a while: against two that outbid each other for ever.
+	e.said, e.wait = map[string]message{}, againEvery
+	e.next = now + againEvery*(1+float64(e.tries)*c.chance.Float64())
+	return nil
+}
+
+// binds goes on with what over half of the holders are bound to: where one of them has accepted somebody's
+// claim, that may have been decided, and is seen through. Against two that each give way to the other.
+func (c *Core) binds(now float64, e *errand) []Act {
+	var taken ballot
+	e.by = e.token
+	for _, m := range e.said {
+		if m.Taken.compare(taken) > 0 {
+			taken, e.by = m.Taken, m.By
+		}
+	}
+	e.step = accept
+	return c.begin(now, e)
+}
+
+func (c *Core) done(e *errand, ok bool, why string) []Act {
+	delete(c.out, e.token)
+	switch {
+	case e.step == put && ok:
+		c.Counts.Promised++
+	case e.step == put:
+		c.Counts.Refused++
+	case ok:
+		c.Counts.Took++
+	case e.step != seek && why == used:
+		c.Counts.Again++
+	case e.step != seek && why != never:
+		c.Counts.Missed++
+	}
+	return []Act{{Done: &Outcome{Token: e.token, OK: ok, Record: e.record, Why: why}}}
+}
+
+// Tick sends again what got no answer, gives up what is late, and forgets what is over.
+func (c *Core) Tick(now float64) (acts []Act) {
+	if by := now - c.ticked; c.ticked > 0 && math.Abs(by) > jumps {
+		// The clock was set: what is under way has the time that it had.
+		for _, e := range c.out {
+			e.until, e.next = e.until+by, e.next+by
+		}
+		c.walkAt += by
+	}
+	c.ticked = now
+	tokens := make([]uint64, 0, len(c.out))
+	for token := range c.out {
+		tokens = append(tokens, token)
+	}
+	slices.Sort(tokens) // in one order, so that a simulation repeats
+	for _, token := range tokens {
+		e := c.out[token]
+		switch {
+		case e == nil:
+		case now >= e.until:
+			acts = append(acts, c.late(e)...)
+		case now >= e.next:
+			acts = append(acts, c.sends(now, e)...)
+		}
+	}
+	second := int64(now / 1000)
+	if c.swept == 0 || c.swept > second {
+		c.swept = second - 1
+	}
+	for ; c.swept < second; c.swept++ {
+		for _, id := range c.ends[c.swept] {
+			if c.records[id] != nil {
+				c.drop(id)
+				acts = append(acts, Act{Save: &Save{Name: nameOf(id)}})
+			}
+		}
+		delete(c.ends, c.swept)
+		for key, r := range c.hints {
+			if r.End < now {
+				delete(c.hints, key)
+			}
+		}
+	}
+	return append(acts, c.points(now)...)
+}
+
+// fails gives a promise up. Its holders are told to forget it: nobody was told of it.
+func (c *Core) fails(e *errand, why string) (acts []Act) {
+	text := (&message{What: dropped, Token: e.token, From: c.name, Life: c.life,
+		Records: []Record{e.record}}).text()
+	for _, m := range e.asked {
+		if m.Name != c.name {
+			acts = append(acts, Act{To: m.Address, Data: text})
+		}
+	}
+	if h := c.records[e.record.ID]; h != nil {
+		acts = append(acts, c.shut(h)...)
+	}
+	return append(acts, c.done(e, false, why)...)
+}
+
+// late gives up.
+func (c *Core) late(e *errand) (acts []Act) {
+	if e.step == seek && !e.record.Kind.once() {
+		for _, m := range e.said {
+			for _, r := range m.Records {
+				if r.Kind == e.record.Kind && r.Key == e.record.Key &&
+					(e.record.ID == 0 || r.Version > e.record.Version) {
+					e.record = r
+				}
+			}
+		}
+		return c.done(e, e.record.ID != 0, "not all have answered")
+	}
+	if e.step == put {
+		return c.fails(e, "not in time")
+	}
+	return c.done(e, false, "not in time")
+}
+
+// Status counts what is held now, by kind.
+func (c *Core) Status() (held map[string]int, counts Counts) {
+	held = map[string]int{}
+	for _, h := range c.records {
+		held[h.Kind.String()]++
+	}
+	return held, c.Counts
+}
--- /dev/null
+++ b/internal/holdings/holdings_test.go
@@ -0,0 +1,641 @@
+package holdings
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// node is a relay with a disk and a way to each other.
+type node struct {
+	*Core
+	name, zone string
+	disk       map[string][]byte
+	writes     []*Save // on their way there, in order
+	syncsAt    float64
+	down, stop bool
+	wiped      int // times
+	lives      uint64
+	inbox      []sent
+	lies       bool // its disk says that it has synced, and has not
+	lied       map[string][]byte
+}
+
+type sent struct {
+	from string
+	data []byte
+}
+
+type flying struct {
+	at float64
+	to int
+	sent
+}
+
+// word is one that was given to a client, and what came of it.
+type word struct {
+	record  Record
+	at      float64
+	given   float64 // 0: not yet, or without a place
+	wiped   []int   // of its holders, as it was made
+	used    int
+	missed  bool
+	ops     []porcupine.Operation
+	pending map[uint64]float64
+}
+
+type world struct {
+	t       *testing.T
+	now     float64
+	chance  *rand.Rand
+	nodes   []*node
+	flight  []flying
+	cut     map[[2]int]bool
+	loss    float64
+	words   map[string]*word // by key
+	putBy   map[uint64]string
+	takenBy map[uint64]string
+	faults  Faults
+	copies  int
+	wrong   []string
+	promise []float64 // ms that it took
+}
+
+func newWorld(t *testing.T, count, zones, copies int, seed int64, faults Faults) *world {
+	w := &world{t: t, now: 1e6, chance: rand.New(rand.NewSource(seed)), cut: map[[2]int]bool{},
+		words: map[string]*word{},
+		putBy: map[uint64]string{}, takenBy: map[uint64]string{}, copies: copies, faults: faults}
+	for i := range count {
+		w.nodes = append(w.nodes, &node{name: fmt.Sprint("n", i), zone: fmt.Sprint("z", i%zones),
+			disk: map[string][]byte{}})
+	}
+	for i := range count {
+		w.start(i)
+	}
+	w.views()
+	return w
+}
+
+func (w *world) start(i int) {
+	n := w.nodes[i]
+	n.lives++
+	n.Core = New(n.name, uint64(i+1)*1000+n.lives, w.copies, 100000, rand.New(rand.NewSource(w.chance.Int63())))
+	n.faults = w.faults
+	for name, body := range n.disk {
+		n.Load(w.now, name, body)
+	}
+	n.down, n.writes, n.inbox = false, nil, nil
+}
+
+// kill loses what was not synced.
+func (w *world) kill(i int) {
+	n := w.nodes[i]
+	if n.down, n.writes, n.inbox = true, nil, nil; n.lies {
+		n.disk = n.lied
+	}
+}
+
+func (w *world) wipe(i int) {
+	w.kill(i)
+	w.nodes[i].disk = map[string][]byte{}
+	w.nodes[i].wiped++
+}
+
+// views has all know who is up.
+func (w *world) views() {
+	var all []Member
+	for i, n := range w.nodes {
+		if !n.down {
+			all = append(all, Member{n.name, n.zone, fmt.Sprint(i), n.life, false})
+		}
+	}
+	for _, n := range w.nodes {
+		if !n.down {
+			n.Members(all)
+		}
+	}
+}
+
+func (w *world) do(i int, acts []Act) {
+	n := w.nodes[i]
+	for _, a := range acts {
+		switch {
+		case a.Save != nil:
+			if len(n.writes) == 0 {
+				n.syncsAt = w.now + 1 + 2*w.chance.Float64()
+			}
+			n.writes = append(n.writes, a.Save)
+		case a.Done != nil:
+			w.done(i, a.Done)
+		case a.Data != nil:
+			var to int
+			fmt.Sscan(a.To, &to)
+			for range 1 + w.chance.Intn(15)/14 {
+				if !w.cut[[2]int{i, to}] && w.chance.Float64() >= w.loss {
+					late := 0.2 + 0.4*w.chance.Float64()
+					if w.loss > 0 && w.chance.Intn(10) == 0 {
+						late *= 200
+					}
+					w.flight = append(w.flight, flying{w.now + late, to, sent{fmt.Sprint(i), a.Data}})
+				}
+			}
+		}
+	}
+}
+
+func (w *world) done(i int, o *Outcome) {
+	if key, put := w.putBy[o.Token]; put {
+		delete(w.putBy, o.Token)
+		if x := w.words[key]; o.OK {
+			x.record, x.given = o.Record, w.now
+			w.promise = append(w.promise, w.now-x.at)
+			for _, h := range o.Record.Holders {
+				x.wiped = append(x.wiped, w.node(h.Name).wiped)
+			}
+		}
+		return
+	}
+	key, take := w.takenBy[o.Token]
+	if !take {
+		return
+	}
+	x := w.words[key]
+	from := x.pending[o.Token]
+	delete(x.pending, o.Token)
+	delete(w.takenBy, o.Token)
+	if o.OK && o.Record.Kind == Order {
+		x.record = o.Record
+	} else if o.OK {
+		if x.used++; x.used > 1 {
+			w.wrong = append(w.wrong, key+" is used twice")
+		}
+		if x.given > 0 && o.Record.ID != x.record.ID {
+			w.wrong = append(w.wrong, key+" is another record")
+		}
+	}
+	if o.OK || o.Why == used {
+		x.ops = append(x.ops, porcupine.Operation{ClientId: len(x.ops), Input: "take", Output: o.OK,
+			Call: int64(from * 1000), Return: int64(w.now*1000) + 1})
+	}
+	x.missed = x.missed || !o.OK && o.Why != used
+}
+
+func (w *world) node(name string) *node {
+	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == name })]
+}
+
+func (w *world) run(until float64) {
+	for ; w.now < until; w.now += 0.5 {
+		flight := w.flight
+		w.flight = nil
+		for _, f := range flight {
+			if f.at > w.now {
+				w.flight = append(w.flight, f)
+			} else if !w.nodes[f.to].down {
+				w.nodes[f.to].inbox = append(w.nodes[f.to].inbox, f.sent)
+			}
+		}
+		for i, n := range w.nodes {
+			if n.down || n.stop {
+				continue
+			}
+			inbox := n.inbox
+			n.inbox = nil
+			for _, m := range inbox {
+				acts, err := n.Heard(w.now, m.from, m.data)
+				require.NoError(w.t, err)
+				w.do(i, acts)
+			}
+			if len(n.writes) > 0 && w.now >= n.syncsAt { // as one group
+				group := n.writes
+				n.writes = nil
+				for _, s := range group {
+					if s.Body == nil {
+						delete(n.disk, s.Name)
+					} else {
+						n.disk[s.Name] = s.Body
+					}
+				}
+				for _, s := range group {
+					w.do(i, n.Saved(w.now, s))
+				}
+			}
+			w.do(i, n.Tick(w.now))
+		}
+	}
+}
+
+// gives has relay i tell a client to come again.
+func (w *world) gives(i int, key string, end float64) {
+	w.words[key] = &word{at: w.now, pending: map[uint64]float64{}}
+	token, acts := w.nodes[i].Put(w.now, Record{Kind: Place, Key: key, At: w.now, End: end}, 50)
+	w.putBy[token] = key
+	w.do(i, acts)
+}
+
+// comes has the client of that key come to relay i.
+func (w *world) comes(i int, key string) {
+	token, acts := w.nodes[i].Take(w.now, Place, key)
+	w.takenBy[token] = key
+	w.words[key].pending[token] = w.now
+	w.do(i, acts)
+}
+
+// claims is what each record's history is held against: taken once, and whoever is told so afterwards is told
+// the truth.
+var claims = porcupine.Model{
+	Init: func() any { return false },
+	Step: func(state, _, output any) (bool, any) {
+		if output == true {
+			return state == false, true
+		}
+		return state == true, true
+	},
+}
+
+func (w *world) check() []string {
+	for _, key := range slices.Sorted(func(yield func(string) bool) {
+		for k := range w.words {
+			if !yield(k) {
+				return
+			}
+		}
+	}) {
+		x := w.words[key]
+		ops := slices.Clone(x.ops)
+		for _, from := range x.pending { // no answer: it may have been taken at any time
+			ops = append(ops, porcupine.Operation{ClientId: len(ops), Input: "take", Output: true,
+				Call: int64(from * 1000), Return: math.MaxInt64})
+		}
+		if x.missed {
+			continue // one that gave up half-way may have used it
+		}
+		if len(x.pending) == 0 && !porcupine.CheckOperations(claims, ops) {
+			w.wrong = append(w.wrong, fmt.Sprintf("%s: %+v", key, ops))
+		}
+	}
+	return w.wrong
+}
+
+// What a promise names holds: any f of its machines lost with their disks, at once and in the instant after;
+// a zone; all power; ways cut; others dying meanwhile.
+func TestPromises(t *testing.T) {
+	holders := func(w *world) (all []int) {
+		for _, h := range w.words["k"].record.Holders {
+			all = append(all, slices.Index(w.nodes, w.node(h.Name)))
+		}
+		return all
+	}
+	for name, c := range map[string]struct {
+		copies int
+		breaks func(w *world)
+		lost   bool // beyond what is promised: it may not be found, and is not used twice
+	}{
+		"nothing": {3, func(*world) {}, false},
+		"whoever gave the word is lost with its disk in the instant after": {3, func(w *world) { w.wipe(0) }, false},
+		"one of three holders": {3, func(w *world) { w.wipe(holders(w)[1]) }, false},
+		"two of five, at once": {5, func(w *world) { w.wipe(holders(w)[0]); w.wipe(holders(w)[3]) }, false},
+		"two of five, and a third starts anew": {5, func(w *world) {
+			w.wipe(holders(w)[0])
+			w.wipe(holders(w)[3])
+			w.kill(holders(w)[1])
+			w.run(w.now + 100)
+			w.start(holders(w)[1])
+		}, false},
+		"two of three are beyond it": {3, func(w *world) { w.wipe(holders(w)[0]); w.wipe(holders(w)[1]) }, true},
+		"a zone's machines and disks": {3, func(w *world) {
+			for i, n := range w.nodes {
+				if n.zone == "z1" {
+					w.wipe(i)
+				}
+			}
+		}, false},
+		"all power": {3, func(w *world) {
+			for i := range w.nodes {
+				w.kill(i)
+			}
+			w.run(w.now + 100)
+			for i := range w.nodes {
+				w.start(i)
+			}
+		}, false},
+		"a wiped one that returns": {3, func(w *world) {
+			i := holders(w)[2]
+			w.wipe(i)
+			w.run(w.now + 100)
+			w.start(i)
+		}, false},
+		"one cut off": {3, func(w *world) {
+			for j := range w.nodes {
+				w.cut[[2]int{holders(w)[0], j}], w.cut[[2]int{j, holders(w)[0]}] = true, true
+			}
+		}, false},
+		"a third of all datagrams": {3, func(w *world) { w.loss = 0.33 }, false},
+	} {
+		for seed := range int64(20) {
+			w := newWorld(t, 9, 3, c.copies, seed, Faults{})
+			w.gives(0, "k", w.now+5000)
+			w.run(w.now + 60)
+			require.Positive(t, w.words["k"].given, name)
+			c.breaks(w)
+			w.run(w.now + 50)
+			w.views()
+			var up []int
+			for i, n := range w.nodes {
+				if !n.down && (len(holders(w)) == 0 || name != "one cut off" || i != holders(w)[0]) {
+					up = append(up, i)
+				}
+			}
+			w.comes(up[w.chance.Intn(len(up))], "k")
+			w.run(w.now + 1100)
+			w.comes(up[w.chance.Intn(len(up))], "k") // and again
+			w.run(w.now + 1100)
+			if !c.lost {
+				assert.Equal(t, 1, w.words["k"].used, "%s, seed %d", name, seed)
+			}
+			assert.Empty(t, w.check(), "%s, seed %d", name, seed)
+		}
+	}
+}
+
+// chaos plays a schedule that a seed draws: words given, clients that come to two relays at one instant,
+// machines killed, stopped, wiped one at a time, ways cut and lossy. At the end all is whole again, and what
+// was promised and is neither used nor had more of its machines wiped than it bears is found.
+func chaos(t *testing.T, count int, seed int64, faults Faults, lies bool) []string {
+	chance := rand.New(rand.NewSource(seed))
+	w := newWorld(t, count, 3, 3+2*int(seed%2), seed, faults)
+	if lies {
+		for _, n := range w.nodes {
+			n.lies, n.lied = true, map[string][]byte{}
+		}
+	}
+	var keys []string
+	end := w.now + 20000
+	up := func() int {
+		for {
+			if i := chance.Intn(count); !w.nodes[i].down && !w.nodes[i].stop {
+				return i
+			}
+		}
+	}
+	for range 25 {
+		for range 4 {
+			key := fmt.Sprint("k", len(keys))
+			keys = append(keys, key)
+			w.gives(up(), key, end)
+		}
+		for range 4 {
+			key := keys[chance.Intn(len(keys))]
+			w.comes(up(), key)
+			if chance.Intn(2) == 0 {
+				w.comes(up(), key)
+			}
+		}
+		i := chance.Intn(count)
+		away := 0
+		for _, n := range w.nodes {
+			if n.down || n.stop {
+				away++
+			}
+		}
+		switch n := w.nodes[i]; chance.Intn(9) {
+		case 0:
+			if away < count/2 {
+				w.kill(i)
+			}
+		case 1:
+			if away < count/2 {
+				n.stop = true
+			}
+		case 2:
+			for j := range w.nodes {
+				if chance.Intn(2) == 0 {
+					w.cut[[2]int{i, j}] = true
+				}
+			}
+		case 3:
+			w.loss = 0.4 * chance.Float64()
+		case 4:
+			if away == 0 && chance.Intn(3) == 0 {
+				w.wipe(i)
+			}
+		case 5:
+			w.cut, w.loss = map[[2]int]bool{}, 0
+		case 6: // all power
+			if chance.Intn(3) == 0 {
+				for j := range w.nodes {
+					w.kill(j)
+				}
+				for j := range w.nodes {
+					w.start(j)
+				}
+			}
+		default:
+			for j, n := range w.nodes {
+				if n.stop = false; n.down {
+					w.start(j)
+				}
+			}
+		}
+		w.run(w.now + 5 + 100*chance.Float64())
+		if chance.Intn(2) == 0 {
+			w.views()
+		}
+	}
+	w.cut, w.loss = map[[2]int]bool{}, 0
+	for j, n := range w.nodes {
+		if n.stop = false; n.down {
+			w.start(j)
+		}
+	}
+	w.run(w.now + 1100)
+	w.views()
+	for _, key := range keys {
+		x := w.words[key]
+		if x.given == 0 || x.used > 0 || x.missed || len(x.ops)+len(x.pending) > 0 {
+			continue // without a place; or somebody gave up or died half-way and may have used it
+		}
+		gone := 0
+		for k, h := range x.record.Holders {
+			if w.node(h.Name).wiped != x.wiped[k] {
+				gone++
+			}
+		}
+		if 2*gone >= len(x.record.Holders) {
+			continue
+		}
+		w.comes(up(), key)
+		w.run(w.now + 30)
+		if x.used == 0 {
+			w.wrong = append(w.wrong, key+" is lost")
+		}
+	}
+	return w.check()
+}
+
+const drawn = 60 // a thousand were by hand
+
+func TestChaos(t *testing.T) {
+	for seed := range int64(drawn) {
+		require.Empty(t, chaos(t, 9, seed, Faults{}, false), "seed %d", seed)
+	}
+	require.Empty(t, chaos(t, 60, 1, Faults{}, false))
+}
+
+// instant has all power go in the instant in which a client is told.
+func instant(t *testing.T, seed int64, faults Faults) []string {
+	w := newWorld(t, 9, 3, 3, seed, faults)
+	w.gives(0, "k", w.now+5000)
+	for until := w.now + 60; w.now < until && w.words["k"].given == 0; {
+		w.run(w.now + 0.5)
+	}
+	for i := range w.nodes {
+		w.kill(i)
+	}
+	for i := range w.nodes {
+		w.start(i)
+	}
+	w.views()
+	w.comes(1, "k")
+	w.run(w.now + 1100)
+	if w.words["k"].used != 1 {
+		return []string{"lost"}
+	}
+	return w.check()
+}
+
+// A check that a planted fault does not trip is none.
+func TestPlantedFaultsAreSeen(t *testing.T) {
+	drawn := func(lies bool) func(*testing.T, int64, Faults) []string {
+		return func(t *testing.T, seed int64, faults Faults) []string { return chaos(t, 9, seed, faults, lies) }
+	}
+	for name, c := range map[string]struct {
+		faults Faults
+		play   func(t *testing.T, seed int64, faults Faults) []string
+	}{
+		"nothing":                                           {Faults{}, instant},
+		"acknowledged before the sync":                      {Faults{Early: true}, instant},
+		"a copy counted twice":                              {Faults{Doubled: true}, drawn(false)},
+		"a used record forgotten too early":                 {Faults{Forgets: true}, drawn(false)},
+		"disks that say they synced, and lose it at a kill": {Faults{}, drawn(true)},
+	} {
+		seen := int64(-1)
+		for seed := range int64(100) {
+			if len(c.play(t, seed, c.faults)) > 0 {
+				seen = seed
+				break
+			}
+		}
+		assert.Equal(t, name != "nothing", seen >= 0, name)
+	}
+}
+
+// What holds by its version is read as it was promised last, by any relay, with holders lost.
+func TestOrders(t *testing.T) {
+	w := newWorld(t, 9, 3, 3, 1, Faults{})
+	for version := uint64(1); version <= 3; version++ {
+		_, acts := w.nodes[int(version)].Put(w.now, Record{Kind: Order, Key: "relay-1", Version: version, End: w.now + 1e6,
+			Body: []byte{byte(version)}}, 50)
+		w.do(int(version), acts)
+		w.run(w.now + 60)
+	}
+	held := 0
+	for _, n := range w.nodes {
+		for _, h := range n.records {
+			assert.Equal(t, uint64(3), h.Version, "older ones make room")
+			held++
+		}
+	}
+	assert.Equal(t, 3, held)
+	for i, n := range w.nodes[:3] {
+		w.wipe(8 - i)
+		token, acts := n.Read(w.now, Order, "relay-1")
+		w.words["order"] = &word{pending: map[uint64]float64{}}
+		w.takenBy[token] = "order"
+		w.do(i, acts)
+		w.run(w.now + 1100)
+		assert.Equal(t, uint64(3), w.words["order"].record.Version, "relay %d", i)
+	}
+}
+
+// Who comes too early has its place when it comes again, and who comes after its end has none.
+func TestPlaceIsForItsTime(t *testing.T) {
+	w := newWorld(t, 9, 3, 3, 1, Faults{})
+	token, acts := w.nodes[0].Put(w.now, Record{Kind: Place, Key: "k", At: w.now + 1000, End: w.now + 1700}, 50)
+	w.words["k"], w.putBy[token] = &word{at: w.now, pending: map[uint64]float64{}}, "k"
+	w.do(0, acts)
+	for _, c := range []struct{ after, used float64 }{{400, 0}, {400, 1}, {1500, 1}} {
+		w.run(w.now + c.after)
+		w.comes(5, "k")
+		w.run(w.now + 50)
+		assert.Equal(t, int(c.used), w.words["k"].used)
+	}
+	w.run(w.now + keptPast + 2000)
+	for i, n := range w.nodes {
+		assert.Empty(t, n.records, "relay %d", i)
+		assert.Empty(t, n.disk, "relay %d", i)
+	}
+}
+
+func FuzzHeard(f *testing.F) {
+	m := message{What: put, Token: 1, From: "x", Life: 2, Ballot: ballot{1, 2}, Taken: ballot{3, 4}, Records: []Record{{
+		Kind: Place, Key: "k", ID: 7, Version: 1, Owner: "o", At: 5, End: 6, Body: []byte("b"),
+		Holders: []Holder{{"h", 1}, {"i", 2}}}}}
+	f.Add(m.text())
+	f.Add([]byte{formVersion})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := New("h", 1, 3, 10, rand.New(rand.NewSource(1)))
+		acts, err := c.Heard(1, "x", data)
+		if err != nil {
+			require.Empty(t, acts)
+			return
+		}
+		again, err := readMessage(data)
+		require.NoError(t, err)
+		same, err := readMessage(again.text())
+		require.NoError(t, err)
+		require.Equal(t, again, same)
+		c.Load(1, nameOf(7), data)
+		c.Tick(2)
+	})
+}
+
+// BenchmarkHold is what a holder spends on one place: to hold it, to be bound and to accept, without the
+// disk.
+func BenchmarkHold(b *testing.B) {
+	c := New("h", 1, 3, 1<<30, rand.New(rand.NewSource(1)))
+	now, bytes := 1e6, 0
+	saved := func(acts []Act) {
+		for _, a := range acts {
+			if a.Save != nil {
+				bytes += len(a.Save.Body)
+				for _, back := range c.Saved(now, a.Save) {
+					bytes += len(back.Data)
+				}
+			}
+		}
+	}
+	for i := range b.N {
+		r := Record{Kind: Place, Key: fmt.Sprintf("%016x", i), ID: uint64(i + 1), Owner: "relay-17", At: now + 500,
+			End: now + 1200, Holders: []Holder{{"h", 1}, {"relay-203", 1 << 60}, {"relay-77", 1 << 61}}}
+		for _, w := range []what{put, bind, accept} {
+			m := message{What: w, Token: 9, From: "relay-17", Life: 1 << 60, Ballot: ballot{1, 9}, By: 9,
+				Records: []Record{r}}
+			acts, err := c.Heard(now, "x", m.text())
+			if err != nil {
+				b.Fatal(err)
+			}
+			saved(acts)
+		}
+		if now += 0.02; i%1000 == 999 {
+			c.Tick(now)
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/place")
+}
