--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -144,7 +144,8 @@
 	Out   string   `default:"report" help:"Where the page goes: NAME.html and NAME.json." placeholder:"NAME" type:"path"`
 }
 
-// Run puts the runs of several reports on one page, side by side: of simulation and sockets, or of two builds.
+// Run puts the runs of several reports on one page, side by side: of simulation and sockets, or of two
+// builds.
 func (c *reportCommand) Run() error {
 	var all *report.Report
 	for _, path := range c.Files {
@@ -354,8 +355,8 @@
 	late      atomic.Int64
 }
 
-// processes plays a schedule with relay processes. One that the machine was too slow for is not counted, twice
-// at the most.
+// processes plays a schedule with relay processes. One that the machine was too slow for is not counted,
+// twice at the most.
 func (c *huntCommand) processes(ctx context.Context, x *experiment.Experiment) *hunt.Found {
 	binary := c.Relay
 	if binary == "" {
--- /dev/null
+++ b/cmd/valeshift-council/disk.go
@@ -0,0 +1,7 @@
+//go:build !lab
+
+package main
+
+import "valeshift/internal/store"
+
+func folder(path string) store.FS { return store.Folder(path) }
--- /dev/null
+++ b/cmd/valeshift-council/disk_lab.go
@@ -0,0 +1,12 @@
+//go:build lab
+
+package main
+
+import (
+	"valeshift/internal/lab/spoiled"
+	"valeshift/internal/store"
+)
+
+// The lab's build differs from the one that serves by this alone: its disk loses what was not synced when the
+// process is killed, and can be full, read-only or slow.
+func folder(path string) store.FS { return spoiled.Folder(path) }
--- a/cmd/valeshift/disk.go
+++ b/cmd/valeshift/disk.go
@@ -2,6 +2,12 @@
 
 package main
 
-import "valeshift/internal/store"
+import (
+	"time"
+
+	"valeshift/internal/store"
+)
 
 func folder(path string) store.FS { return store.Folder(path) }
+
+var clock = time.Now
--- a/cmd/valeshift/fleet.go
+++ b/cmd/valeshift/fleet.go
@@ -63,9 +63,20 @@
 	if s.Disk != "" {
 		fmt.Fprintf(to, "  disk: %s\n", s.Disk)
 	}
+	if s.Ahead != 0 {
+		fmt.Fprintf(to, "  its time is %.1f s ahead of the fleet's\n", s.Ahead/1000)
+	}
 	if s.Twin {
 		fmt.Fprintln(to, "  ANOTHER PROCESS SERVES UNDER THIS RELAY'S NAME")
 	}
+	if h := s.Holdings; h != nil {
+		n := h.Counts
+		fmt.Fprintf(to, "  holds %d places and %d orders for others; enough relays for a promise %t\n", h.Held["places"],
+			h.Held["orders"], h.Able)
+		fmt.Fprintf(to, "  words held by others %d, not in time %d; places taken %d, used before %d, not got in time %d\n",
+			n.Promised, n.Refused, n.Took, n.Again, n.Missed)
+		fmt.Fprintf(to, "  the latest words took %.1f ms to be held in the middle, %.1f ms at p99\n", h.P50, h.P99)
+	}
 	for _, line := range p.Took {
 		fmt.Fprintf(to, "  believed: %s\n", line)
 	}
--- a/cmd/valeshift/main.go
+++ b/cmd/valeshift/main.go
@@ -26,6 +26,7 @@
 	Run     runCommand     `cmd:"" default:"1" help:"Serve until SIGTERM (what is done with no arguments)."`
 	Check   checkCommand   `cmd:"" help:"Read all configuration and name the field that is wrong; start nothing."`
 	Fleet   fleetCommand   `cmd:"" help:"Ask relays what they keep and hear of each other."`
+	Zone    zoneCommand    `cmd:"" help:"Ask the council on zones, or order it."`
 	Version versionCommand `cmd:"" help:"Say which build this is."`
 }
 
@@ -62,6 +63,8 @@
 		}
 		debug.SetMemoryLimit(int64(told.MemoryMB * part * (1 << 20)))
 	}
+	told.Clock = clock
+	told.ReportAge = float64(file.Servers.ReportAge)
 	mates, err := mates(told, file, log.Slog())
 	if err != nil {
 		log.Slog().Error("bad configuration", "err", err)
@@ -90,14 +93,14 @@
 	var others *fleet.Peers
 	if p.Listen != "" {
 		others = &fleet.Peers{Listen: p.Listen, Zone: p.Zone, Region: p.Region, KeyFile: p.KeyFile, Seeds: p.Seeds,
-			Only: p.Only}
+			Only: p.Only, Voters: file.Council.Voters, Copies: file.Holdings.Copies}
 	}
 	var disk store.FS
 	if file.Disk.Folder != "" {
 		disk = folder(file.Disk.Folder)
 	}
 	told.Besides = fleet.Files
-	return fleet.NewRun(told.Name, others, disk, file.Disk.MostMB<<20, log)
+	return fleet.NewRun(told.Name, others, disk, file.Disk.MostMB<<20, clock, log)
 }
 
 type checkCommand struct{}
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -1,15 +1,15 @@
-// Package admit decides how much one relay sends to cold servers after the whole fleet lost power, and whom it
-// lets go first: all servers are cold then, all relays young, all clients there at once. The paper has no such
-// case: its buckets follow probed load (section IV-B), which says nothing of servers that nobody has used yet.
-// It is asked by the decision module, knows no server and no link, and is silent until the module is told what
-// was learnt before, or that the fleet recovers. Times are milliseconds.
+// Package admit decides how much one relay sends to cold servers after the whole fleet lost power, and whom
+// it lets go first: all servers are cold then, all relays young, all clients there at once. The paper has no
+// such case: its buckets follow probed load (section IV-B), which says nothing of servers that nobody has
+// used yet. It is asked by the decision module, knows no server and no link, and is silent until the module
+// is told what was learnt before, or that the fleet recovers. Times are milliseconds.
 package admit
 
 import "math"
 
 const (
 	mostMean   = 0.45  // of what all cold servers bear within a span, that all relays together mean to send
-	chanceOver = 6.4   // roots of the mean above it: 4.5 deviations, of weights that spread like their mean
+	chanceOver = 4.25  // roots of the mean above it: three deviations, of weights that spread like their mean
 	mostPart   = 1.6   // even parts, that one relay ever takes of that
 	savedPart  = 0.25  // of a span, for which what was not used is saved up
 	cheapLeast = 0.25  // of the chance of dear links, that the cheapest have
@@ -49,8 +49,8 @@
 	return a.capacity
 }
 
-// On takes that the fleet recovers, or has, and which part of what cold servers bear this relay is to take, by
-// how many relays there are and how many clients wait at each; 0: an even one. Whatever others say, it is
+// On takes that the fleet recovers, or has, and which part of what cold servers bear this relay is to take,
+// by how many relays there are and how many clients wait at each; 0: an even one. Whatever others say, it is
 // never more than 1.6 even parts: so all relays together, with what each has saved up, stay under nine tenths
 // of what servers bear within any span.
 func (a *Admission) On(on bool, part, relays float64) {
@@ -69,11 +69,11 @@
 	return (seen*links + a.capacity*faith) / (links + faith)
 }
 
-// Pace is this relay's budget of cold servers for a millisecond and all of one's capacity, in links of the mean
-// load, of which a server bears so many; a server falls at that multiple of its present capacity within the
-// span, and starts with the part from of it; cold and usable count servers. While the fleet recovers and what a
-// server bears is known, it is a part of what they bear within that span, in place of what fills them over
-// their warm-up: there is no warm server beside them that could serve meanwhile.
+// Pace is this relay's budget of cold servers for a millisecond and all of one's capacity, in links of the
+// mean load, of which a server bears so many; a server falls at that multiple of its present capacity within
+// the span, and starts with the part from of it; cold and usable count servers. While the fleet recovers and
+// what a server bears is known, it is a part of what they bear within that span, in place of what fills them
+// over their warm-up: there is no warm server beside them that could serve meanwhile.
 func (a *Admission) Pace(links, multiple, from, span, usual, cold, usable float64) float64 {
 	if a != nil && a.on && a.capacity > 0 && 2*cold > usable {
 		return recoverPart(multiple*links*from) * multiple * links / span * a.part
@@ -93,7 +93,8 @@
 func (a *Admission) Again() bool { return a != nil && a.on && a.capacity > 0 }
 
 // Offers is the part of the time since the last link asked for a cold server that one of that gain and key is
-// offered; the rest is left to the next. The dearest, and those that come at the time they were told, go first.
+// offered; the rest is left to the next. The dearest, and those that come at the time they were told, go
+// first.
 func (a *Admission) Offers(gain float64, key uint64, now float64) float64 {
 	if a == nil || !a.on {
 		return 1
@@ -119,8 +120,8 @@
 	return usual
 }
 
-// Leaves is what a link leaves of that time to the next: what it was not offered, and what it did not need, as
-// one link is never more than one.
+// Leaves is what a link leaves of that time to the next: what it was not offered, and what it did not need,
+// as one link is never more than one.
 func (a *Admission) Leaves(since, offered, due float64) float64 {
 	if a == nil || !a.on {
 		return 0
@@ -148,6 +149,14 @@
 	}
 }
 
+// Forgo has this relay forget what a client of that key was told: others hold it, and it is claimed of them.
+func (a *Admission) Forgo(key uint64) {
+	if a != nil {
+		delete(a.recent, key)
+		delete(a.older, key)
+	}
+}
+
 func (a *Admission) find(key uint64) (due float64, told bool) {
 	if due, told = a.recent[key]; !told {
 		due, told = a.older[key]
--- /dev/null
+++ b/internal/chamber/file.go
@@ -0,0 +1,126 @@
+package chamber
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+
+	"valeshift/internal/council"
+	"valeshift/internal/failover"
+	"valeshift/internal/operator"
+)
+
+// File is a voter's file, in TOML.
+type File struct {
+	Name    string  `toml:"name"`     // of this voter, one of those below
+	Ops     string  `toml:"ops"`      // address:port where operators call
+	KeyFile string  `toml:"key-file"` // the relays' and the voters'
+	Folder  string  `toml:"folder"`
+	Voters  []Voter `toml:"voter"`
+	Zones   []Zone  `toml:"zone"`
+}
+
+// Voter is one of them.
+type Voter struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"` // address:port, UDP, as the others and the relays reach it
+}
+
+// Zone is one that is decided on.
+type Zone struct {
+	Name   string `toml:"name"`
+	Region string `toml:"region"`
+}
+
+const (
+	mostVoters = 7
+	mostZones  = 64
+	mostName   = 64
+)
+
+// ReadFile reads a voter's file. Its errors name the field.
+func ReadFile(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	f := &File{}
+	if err := operator.Strict(text, f); err != nil {
+		return nil, fmt.Errorf("%s:%w", path, err)
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+// Reload reads the file again, for its zones: all else needs a restart, and is named.
+func (f *File) Reload(path string) (*File, error) {
+	next, err := ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	for _, field := range []struct {
+		name string
+		same bool
+	}{{"name", f.Name == next.Name}, {"ops", f.Ops == next.Ops}, {"key-file", f.KeyFile == next.KeyFile},
+		{"folder", f.Folder == next.Folder}, {"voter", slices.Equal(f.Voters, next.Voters)}} {
+		if !field.same {
+			return nil, fmt.Errorf("%s: %s: another takes a restart", path, field.name)
+		}
+	}
+	return next, nil
+}
+
+func (f *File) check() error {
+	if n := len(f.Voters); n%2 == 0 || n > mostVoters {
+		return fmt.Errorf("voter: 1, 3, 5 or %d expected, got %d", mostVoters, n)
+	}
+	if n := len(f.Zones); n == 0 || n > mostZones {
+		return fmt.Errorf("zone: 1 to %d expected, got %d", mostZones, n)
+	}
+	own, voters, zones := false, map[string]bool{}, map[string]bool{}
+	for i, v := range f.Voters {
+		if at, err := netip.ParseAddrPort(v.Address); err != nil || at.Port() == 0 {
+			return fmt.Errorf("voter.%d.address: address:port expected, got %q", i, v.Address)
+		}
+		if v.Name == "" || len(v.Name) > mostName || voters[v.Name] {
+			return fmt.Errorf("voter.%d.name: a name of its own expected, got %q", i, v.Name)
+		}
+		voters[v.Name], own = true, own || v.Name == f.Name
+	}
+	for i, z := range f.Zones {
+		if z.Name == "" || len(z.Name) > mostName || len(z.Region) > mostName || zones[z.Name] {
+			return fmt.Errorf("zone.%d.name: a name of its own expected, got %q", i, z.Name)
+		}
+		zones[z.Name] = true
+	}
+	if at, err := netip.ParseAddrPort(f.Ops); err != nil {
+		return fmt.Errorf("ops: address:port expected, got %q", f.Ops)
+	} else if !at.IsValid() || !own {
+		return fmt.Errorf("name: one of the voters expected, got %q", f.Name)
+	}
+	if f.Folder == "" {
+		return errors.New("folder: where votes are kept expected, got nothing")
+	}
+	if f.KeyFile == "" {
+		return errors.New("key-file: the path of a file expected, got nothing")
+	}
+	return nil
+}
+
+// Council is who this voter is, who all are, and which zones are decided on.
+func (f *File) Council() (me council.Member, voters []council.Member, zones []failover.Zone) {
+	for _, v := range f.Voters {
+		m := council.Member{Name: v.Name, Address: v.Address}
+		if voters = append(voters, m); v.Name == f.Name {
+			me = m
+		}
+	}
+	for _, z := range f.Zones {
+		zones = append(zones, failover.Zone{Name: z.Name, Region: z.Region})
+	}
+	return me, voters, zones
+}
--- /dev/null
+++ b/internal/chamber/run.go
@@ -0,0 +1,285 @@
+package chamber
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	mathrand "math/rand"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"valeshift/internal/council"
+	"valeshift/internal/failover"
+	"valeshift/internal/peers"
+	"valeshift/internal/store"
+)
+
+const (
+	tickEvery = 10 * time.Millisecond
+	askEvery  = 250 * time.Millisecond
+	diskRetry = 500 * time.Millisecond
+	orderTime = 2 * time.Second // for an order to be durable at a majority
+	lookEvery = 10 * time.Millisecond
+	mostText  = 4 << 10
+	mostDisk  = 16 << 20
+	datagram  = 64 << 10
+)
+
+// Run is one voter on sockets and a disk. Everything is taken under one lock, and none of it waits.
+type Run struct {
+	log   *slog.Logger
+	key   []byte
+	base  time.Time
+	mutex sync.Mutex
+	core  *Core
+	udp   *net.UDPConn
+	store *store.Store
+	saves chan council.Out
+	ended chan struct{}
+	done  sync.WaitGroup
+}
+
+// Start starts a voter that hears others at its address; fs is its folder.
+func Start(me council.Member, voters []council.Member, zones []failover.Zone, key []byte, fs store.FS,
+	log *slog.Logger) (*Run, error) {
+	kept, found, err := store.Open(fs, me.Name, mostDisk)
+	if err != nil {
+		return nil, err
+	}
+	if found.Damaged > 0 || found.Torn > 0 {
+		log.Warn("disk: damaged pieces passed over", "damaged", found.Damaged, "torn", found.Torn)
+	}
+	var lot [8]byte
+	if _, err := rand.Read(lot[:]); err != nil {
+		return nil, err
+	}
+	r := &Run{log: log, key: key, base: time.Now(), store: kept, saves: make(chan council.Out, 1),
+		ended: make(chan struct{})}
+	record, _ := kept.Get(store.Council, "")
+	chance := mathrand.New(mathrand.NewSource(int64(binary.LittleEndian.Uint64(lot[:]))))
+	if r.core, err = New(r.now(), me, voters, zones, record.Body, chance); err != nil {
+		return nil, errors.Join(err, kept.Close())
+	}
+	at, err := net.ResolveUDPAddr("udp", me.Address)
+	if err == nil {
+		r.udp, err = net.ListenUDP("udp", at)
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("listen: %w", err), kept.Close())
+	}
+	r.done.Add(3)
+	go r.ticks()
+	go r.hears()
+	go r.writes()
+	return r, nil
+}
+
+// Stop ends it.
+func (r *Run) Stop() {
+	close(r.ended)
+	r.udp.Close()
+	r.done.Wait()
+	if err := r.store.Close(); err != nil {
+		r.log.Warn("disk", "err", err)
+	}
+}
+
+// Over has those zones decided on from now on.
+func (r *Run) Over(zones []failover.Zone) {
+	r.with(func(_ float64, c *Core) { c.Over(zones) })
+}
+
+func (r *Run) now() float64 { return 1 + float64(time.Since(r.base))/float64(time.Millisecond) }
+
+func wall() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
+// with has the core take something, and carries out what follows.
+func (r *Run) with(do func(now float64, c *Core)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	do(r.now(), r.core)
+	for {
+		out := r.core.Next()
+		if out.Save != nil {
+			r.saves <- out // there is room, as nothing more comes before it is saved
+			return
+		}
+		if len(out.Send) == 0 {
+			return
+		}
+		r.sends(out.Send)
+	}
+}
+
+func (r *Run) sends(all []council.Send) {
+	for _, s := range all {
+		r.send(s.To, failover.Frame, s.Data)
+	}
+}
+
+// send loses what can't be sent: all of it is said again.
+func (r *Run) send(to string, kind byte, data []byte) {
+	if at, err := net.ResolveUDPAddr("udp", to); err == nil {
+		r.udp.WriteToUDP(peers.Seal(r.key, append([]byte{kind}, data...)), at)
+	}
+}
+
+func (r *Run) ticks() {
+	defer r.done.Done()
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	var asked time.Time
+	leads := false
+	for {
+		select {
+		case <-r.ended:
+			return
+		case <-tick.C:
+		}
+		to, now := "", false
+		r.with(func(at float64, c *Core) {
+			c.Tick(at, wall())
+			to, now = c.Asks(at), c.voter.Leads(at)
+		})
+		if now != leads {
+			leads = now
+			r.log.Info("council", "leads", leads)
+		}
+		if to != "" && time.Since(asked) >= askEvery {
+			asked = time.Now()
+			r.send(to, failover.Shown, nil)
+		}
+	}
+}
+
+func (r *Run) hears() {
+	defer r.done.Done()
+	buffer := make([]byte, datagram)
+	for {
+		n, from, err := r.udp.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		body, err := peers.Open(r.key, buffer[:n])
+		if err != nil || len(body) == 0 {
+			continue
+		}
+		r.take(from, body[0], slices.Clone(body[1:]))
+	}
+}
+
+func (r *Run) take(from *net.UDPAddr, kind byte, data []byte) {
+	switch kind {
+	case failover.Frame:
+		r.with(func(now float64, c *Core) { c.Take(now, data) })
+	case failover.Shown:
+		var word []byte
+		r.with(func(now float64, c *Core) { word, _ = c.Hear(now, data) })
+		if word != nil {
+			r.send(from.String(), failover.Says, word)
+		}
+	case failover.Says:
+		r.with(func(now float64, c *Core) { c.Told(now, data) })
+	}
+}
+
+// writes saves what is to be saved, however long that takes: nothing is spoken of before.
+func (r *Run) writes() {
+	defer r.done.Done()
+	for {
+		select {
+		case <-r.ended:
+			return
+		case out := <-r.saves:
+			for !r.write(out.Save) {
+				select {
+				case <-r.ended:
+					return
+				case <-time.After(diskRetry):
+				}
+			}
+			r.with(func(_ float64, c *Core) {
+				r.sends(out.Send)
+				c.Saved()
+			})
+		}
+	}
+}
+
+func (r *Run) write(data []byte) bool {
+	durable := make(chan error, 1)
+	r.store.Put(store.Record{Kind: store.Council, Body: data}, func(err error) { durable <- err })
+	if err := r.store.Flush(); err != nil {
+		r.log.Error("disk: this voter is silent until it can be written", "err", err)
+		return false
+	}
+	return <-durable == nil
+}
+
+// Handler answers operators: how things stand, what was decided, and orders.
+func (r *Run) Handler() http.Handler {
+	calls := http.NewServeMux()
+	say := func(w http.ResponseWriter, what any) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(what)
+	}
+	calls.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		say(w, r.core.Status(r.now()))
+	})
+	calls.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		say(w, r.core.History())
+	})
+	calls.HandleFunc("POST /order", func(w http.ResponseWriter, q *http.Request) {
+		var o failover.Order
+		if err := json.NewDecoder(http.MaxBytesReader(w, q.Body, mostText)).Decode(&o); err != nil || o.ID == "" {
+			http.Error(w, "an order with an ID expected", http.StatusBadRequest)
+			return
+		}
+		entry, err := r.Order(o)
+		switch {
+		case errors.Is(err, council.ErrNotLeading):
+			http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		case entry.Refused != "":
+			http.Error(w, "refused: "+entry.Refused, http.StatusConflict)
+		default:
+			say(w, entry)
+		}
+	})
+	return calls
+}
+
+// ErrNotDurable says that an order has no majority yet. It may come to hold all the same: the same order
+// given again, under its ID, tells.
+var ErrNotDurable = errors.New("not durable at a majority")
+
+// Order has an order decided, and tells what has become of it once that is durable at a majority.
+func (r *Run) Order(o failover.Order) (entry failover.Entry, err error) {
+	r.with(func(now float64, c *Core) { err = c.Order(now, o) })
+	for until := time.Now().Add(orderTime); err == nil; time.Sleep(lookEvery) {
+		r.mutex.Lock()
+		entry, there := r.core.Answer(o.ID)
+		r.mutex.Unlock()
+		if there {
+			return entry, nil
+		}
+		if time.Now().After(until) {
+			err = ErrNotDurable
+		}
+	}
+	return entry, err
+}
--- /dev/null
+++ b/internal/fleet/holdings.go
@@ -0,0 +1,277 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"slices"
+
+	"valeshift/internal/holdings"
+	"valeshift/internal/peers"
+	"valeshift/internal/recovery"
+	"valeshift/internal/relay"
+	"valeshift/internal/store"
+)
+
+// This file is a relay's side of what is held for others: places of clients that were told to come again. The
+// relay's reducer asks (Entrust, Claim); who holds what is holdings' business.
+
+const (
+	mostHoldings = 1 << 18 // of other relays' records, on this disk
+	holdWithin   = 200.0   // ms, after which a promise is given up by its holders as well
+	viewEvery    = 200.0
+	holdingFrame = 'h'   // first byte of such a datagram, which no peers' one has
+	placeLate    = 700.0 // after the time told, as admission counts it
+
+	orderFor    = 3e6 // that others hold an order, unless it is held anew
+	orderWithin = 800.0
+	orderEvery  = 2000.0
+	orderReads  = 10 // for those who hold it may start later
+	orderTells  = 3
+	latest      = 1024
+)
+
+// entrusted is a client's word on its way to others.
+type entrusted struct {
+	conn uint64
+	at   float64
+}
+
+type held struct {
+	core    *holdings.Core
+	key     []byte
+	life    uint64
+	viewAt  float64
+	members []holdings.Member
+	entrust map[uint64]entrusted // by token
+	took    [latest]float64      // ms, that the latest words took to be held, in turn
+	words   int
+	claims  map[uint64]uint64 // key by token
+	older   bool              // this disk is not the one that the relay has spoken by
+
+	orders  map[uint64]bool // tokens of those that are being held, or read
+	reads   int             // times that it was read so far
+	nextAt  float64         // when it is read, or held anew, at the soonest
+	ordered holdings.Record // as it was promised last
+	former  holdings.Record // and before that: its holders are told so some times, as nobody answers to it
+	tells   int
+}
+
+// Holds has the relay's words held by so many machines, this one among them where the lot falls on it.
+func (c *Core) Holds(name string, life uint64, copies int, key []byte, chance *rand.Rand) []Act {
+	c.held = &held{core: holdings.New(name, life, copies, mostHoldings, chance), key: key, life: life,
+		entrust: map[uint64]entrusted{}, claims: map[uint64]uint64{}, orders: map[uint64]bool{}}
+	c.held.core.Mute(true)
+	return []Act{{Tell: &relay.Event{Kind: relay.Holds}}}
+}
+
+// fleetTime is the time that all relays mean, of this relay's.
+func (c *Core) fleetTime(now float64) float64 { return now + c.off }
+
+// Settled is what has become of an order that others were to hold.
+type Settled struct {
+	Token uint64
+	OK    bool
+}
+
+// HoldOrder has others hold the order that this relay was given last; a Settled follows, under that token.
+func (c *Core) HoldOrder(now float64) (token uint64, acts []Act) {
+	body, _ := json.Marshal(orderBody{c.order, c.lame}) // of plain values
+	token, all := c.held.core.Put(c.fleetTime(now), holdings.Record{Kind: holdings.Order, Key: c.peers.Own().Name,
+		Version: c.order, End: c.fleetTime(now) + orderFor, Body: body}, orderWithin)
+	c.held.orders[token], c.held.nextAt = true, now+orderEvery
+	return token, c.holds(now, all)
+}
+
+// orders reads once what others hold of this relay's orders, and has its last one held anew where a holder
+// has gone or leaves, or its time has half run out.
+func (c *Core) orders(now float64, members []holdings.Member) []Act {
+	h := c.held
+	if now < h.nextAt || c.plan.Phase() < recovery.Admitting || !c.read {
+		return nil
+	}
+	h.nextAt = now + orderEvery
+	if h.reads < orderReads && c.order == 0 && len(members) > 1 {
+		h.reads++
+		token, acts := h.core.Read(c.fleetTime(now), holdings.Order, c.peers.Own().Name)
+		h.orders[token] = true
+		return c.holds(now, acts)
+	}
+	if h.former.ID != 0 && h.tells > 0 {
+		h.tells--
+		return c.holds(now, h.core.Release(h.former))
+	}
+	there := func(o holdings.Holder) bool {
+		return slices.ContainsFunc(members, func(m holdings.Member) bool { return m.Name == o.Name && !m.Leaves })
+	}
+	missing := slices.ContainsFunc(h.ordered.Holders, func(o holdings.Holder) bool { return !there(o) })
+	if c.order == 0 || (h.ordered.Version == c.order && !missing && c.fleetTime(now) < h.ordered.End-orderFor/2) {
+		return nil
+	}
+	_, acts := c.HoldOrder(now)
+	return acts
+}
+
+func placeKey(key uint64) string { return fmt.Sprintf("%016x", key) }
+
+// Entrust has others hold that the client of that connection and key is told to come at that time.
+func (c *Core) Entrust(now float64, conn, key uint64, at float64) []Act {
+	if c.held == nil {
+		return nil
+	}
+	at += c.off
+	token, acts := c.held.core.Put(c.fleetTime(now), holdings.Record{Kind: holdings.Place, Key: placeKey(key), At: at,
+		End: at + placeLate}, holdWithin)
+	c.held.entrust[token] = entrusted{conn, now}
+	return c.holds(now, acts)
+}
+
+// Claim seeks what is held for a client of that key, and uses it up.
+func (c *Core) Claim(now float64, key uint64) []Act {
+	if c.held == nil {
+		return nil
+	}
+	token, acts := c.held.core.Take(c.fleetTime(now), holdings.Place, placeKey(key))
+	c.held.claims[token] = key
+	return c.holds(now, acts)
+}
+
+// heldFrame takes a datagram of another's holdings; false: it is none.
+func (c *Core) heldFrame(now float64, from string, data []byte) ([]Act, bool) {
+	if c.held == nil || len(data) == 0 || data[0] != holdingFrame {
+		return nil, false
+	}
+	body, err := peers.Open(c.held.key, data)
+	if err != nil {
+		return nil, true
+	}
+	acts, err := c.held.core.Heard(c.fleetTime(now), from, body[1:])
+	if err != nil {
+		return nil, true
+	}
+	return c.holds(now, acts), true
+}
+
+// Durable says that what holdings had saved is on the disk.
+func (c *Core) Durable(now float64, s *holdings.Save) []Act {
+	return c.holds(now, c.held.core.Saved(c.fleetTime(now), s))
+}
+
+// holds turns its acts into those of the whole.
+func (c *Core) holds(now float64, all []holdings.Act) (acts []Act) {
+	for _, a := range all {
+		switch {
+		case a.Save != nil:
+			acts = append(acts, Act{Save: &store.Record{Kind: store.Holding, Key: a.Save.Name, Boot: c.boot, At: now,
+				Body: a.Save.Body}, Then: a.Save})
+		case a.Data != nil:
+			acts = append(acts, Act{Send: &peers.Datagram{To: a.To,
+				Data: peers.Seal(c.held.key, append([]byte{holdingFrame}, a.Data...))}})
+		case a.Done != nil:
+			acts = append(acts, c.outcome(now, a.Done)...)
+		}
+	}
+	return acts
+}
+
+func (c *Core) outcome(now float64, o *holdings.Outcome) []Act {
+	h := c.held
+	if w, there := h.entrust[o.Token]; there {
+		delete(h.entrust, o.Token)
+		h.took[h.words%latest] = now - w.at
+		h.words++
+		return []Act{{Tell: &relay.Event{Kind: relay.Entrusted, Conn: w.conn, Off: !o.OK}}}
+	}
+	if h.orders[o.Token] {
+		delete(h.orders, o.Token)
+		acts := []Act{{Settled: &Settled{o.Token, o.OK}}}
+		if !o.OK && o.Record.Owner != "" {
+			acts = append(acts, Act{Note: "an order is not held by others: " + o.Why})
+		}
+		if o.OK && o.Record.Kind == holdings.Order {
+			var kept orderBody
+			if json.Unmarshal(o.Record.Body, &kept) == nil { // one that its own disk has lost
+				acts = append(acts, c.reminded(now, kept.Number, kept.Lame)...)
+			}
+			if o.Record.Owner == c.peers.Own().Name && o.Record.Version == c.order {
+				if h.former, h.tells = h.ordered, orderTells; h.ordered.ID == o.Record.ID {
+					h.tells = 0
+				}
+				h.ordered = o.Record
+			}
+		}
+		return acts
+	}
+	key, there := h.claims[o.Token]
+	delete(h.claims, o.Token)
+	if !there || !o.OK {
+		return nil
+	}
+	return []Act{{Tell: &relay.Event{Kind: relay.Claimed, Key: key, At: o.Record.At - c.off}}}
+}
+
+// holdsOn goes on. Nothing is held or said of while it is not known that this disk is the latest that the
+// relay has spoken by, or while another process has its name.
+func (c *Core) holdsOn(now float64) []Act {
+	h := c.held
+	if h == nil {
+		return nil
+	}
+	if now >= h.viewAt {
+		h.viewAt = now + viewEvery
+		own := c.peers.Own()
+		all := []holdings.Member{{Name: own.Name, Zone: own.Zone, Address: own.Address, Life: h.life,
+			Leaves: c.lame}}
+		for _, m := range c.heard(now) {
+			if at := c.peers.Reach(m); at != "" {
+				all = append(all, holdings.Member{Name: m.Name, Zone: m.Zone, Address: at, Life: m.Life,
+					Leaves: m.Lame})
+			}
+		}
+		h.members = all
+		h.core.Members(all)
+		twin := c.peers.Twin > 0 && now < c.peers.Twin+twinFor
+		h.core.Mute(!c.read || twin || c.plan.Phase() < recovery.Admitting)
+	}
+	acts := c.orders(now, h.members)
+	if h.older {
+		h.older = false
+		acts = append(acts, Act{Note: "the disk is an older one: what it holds for others is put aside"})
+		acts = append(acts, c.holds(now, h.core.Forget())...)
+	}
+	return append(acts, c.holds(now, h.core.Tick(c.fleetTime(now)))...)
+}
+
+// holdsDisk takes what the disk holds for others, unless others know a later start of this relay than the
+// disk does.
+func (c *Core) holdsDisk(now float64, s *store.Store, lastBoot uint64) {
+	if c.held == nil {
+		return
+	}
+	for _, r := range s.All(store.Holding) {
+		c.held.core.Load(c.fleetTime(now), r.Key, r.Body)
+	}
+	c.held.older = c.boot > lastBoot+1
+}
+
+// HoldingsStatus is what operators are told.
+type HoldingsStatus struct {
+	Held   map[string]int
+	Able   bool // there are relays enough for a promise
+	Counts holdings.Counts
+	P50    float64 // ms, that the latest words took until others held them; 0: there were none
+	P99    float64
+}
+
+func (c *Core) holdingsStatus() *HoldingsStatus {
+	if c.held == nil {
+		return nil
+	}
+	s := &HoldingsStatus{Able: c.held.core.Able()}
+	s.Held, s.Counts = c.held.core.Status()
+	if n := min(c.held.words, latest); n > 0 {
+		took := slices.Sorted(slices.Values(c.held.took[:n]))
+		s.P50, s.P99 = took[n/2], took[n*99/100]
+	}
+	return s
+}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -16,6 +16,7 @@
 	"valeshift/internal/peers"
 	"valeshift/internal/relay"
 	"valeshift/internal/store"
+	"valeshift/logic"
 )
 
 const (
@@ -27,6 +28,8 @@
 	diskRetry  = 2 * time.Second
 	leastKey   = 16
 	nonce      = 16
+	mostWants  = 4096
+	mostHeard  = 32 << 10 // of a datagram: a voter's word on many zones
 	// Files is how many descriptors all of it may hold.
 	Files = 2 + mostAskers + 4 + 4 // both sockets, those who ask, those asked, the disk's
 )
@@ -36,6 +39,8 @@
 	Listen, Zone, Region, KeyFile string
 	Seeds                         []string
 	Only                          bool // others are reached by the seeds' addresses alone
+	Voters                        []string
+	Copies                        int // of what this relay gives its word for; 0: none but its own
 }
 
 // Run is one relay's side of the fleet, on sockets and a disk.
@@ -48,16 +53,21 @@
 	most  int
 	base  time.Time
 	ms    float64
+	clock func() time.Time // the machine's
 
 	tell func(relay.Event)
 	seen func() relay.Seen
 	kept func() *relay.Kept
+	look func() (map[string]logic.ZoneLook, float64)
 
 	mutex sync.Mutex // over core; never held while the relay, a peer or the disk is waited for
 	core  *Core
 	udp   *net.UDPConn
 	tcp   net.Listener
 
+	wants chan want // of the relay, that holdings are asked for
+	waits sync.Map  // chan bool by token: who waits for an order to be held
+
 	disk  sync.Mutex // over store
 	store *store.Store
 	dirty chan struct{}
@@ -65,10 +75,12 @@
 	done  sync.WaitGroup
 }
 
-// NewRun takes the relay's name, where others are (nil: none) and the folder that it may keep up to most bytes
-// in (nil: none).
-func NewRun(name string, others *Peers, fs store.FS, most int, log *slog.Logger) (*Run, error) {
-	r := &Run{log: log, name: name, fs: fs, most: most, dirty: make(chan struct{}, 1), ended: make(chan struct{})}
+// NewRun takes the relay's name, where others are (nil: none) and the folder that it may keep up to most
+// bytes in (nil: none), and the machine's clock.
+func NewRun(name string, others *Peers, fs store.FS, most int, clock func() time.Time,
+	log *slog.Logger) (*Run, error) {
+	r := &Run{log: log, name: name, clock: clock, fs: fs, most: most, dirty: make(chan struct{}, 1),
+		ended: make(chan struct{})}
 	if others != nil {
 		r.peers = *others
 		key, err := ReadKey(others.KeyFile)
@@ -96,9 +108,11 @@
 	return r.ms + float64(time.Since(r.base))/float64(time.Millisecond)
 }
 
-// Start begins: tell gives the relay an event, seen and kept ask it how it fares and what it knows.
-func (r *Run) Start(now float64, tell func(relay.Event), seen func() relay.Seen, kept func() *relay.Kept) error {
-	r.base, r.ms, r.tell, r.seen, r.kept = time.Now(), now, tell, seen, kept
+// Start begins: tell gives the relay an event; seen, kept and looked ask it how it fares, what it knows and
+// what it has seen of zones.
+func (r *Run) Start(now float64, tell func(relay.Event), seen func() relay.Seen, kept func() *relay.Kept,
+	looked func() (map[string]logic.ZoneLook, float64)) error {
+	r.base, r.ms, r.tell, r.seen, r.kept, r.look = time.Now(), now, tell, seen, kept, looked
 	var lot [16]byte
 	if _, err := rand.Read(lot[:]); err != nil {
 		return err
@@ -123,7 +137,17 @@
 	if r.core.peers != nil {
 		r.core.peers.Only = r.peers.Only
 	}
+	if len(r.peers.Voters) > 0 {
+		r.core.Follows(r.name, r.peers.Zone, r.peers.Voters, r.key, chance)
+	}
 	tell(relay.Event{Kind: relay.Restarted})
+	if r.peers.Copies > 0 {
+		r.wants = make(chan want, mostWants)
+		for _, a := range r.core.Holds(r.name, own.Life, r.peers.Copies, r.key, chance) {
+			tell(*a.Tell)
+		}
+		r.goes(r.holds)
+	}
 	r.goes(r.ticks)
 	if r.udp != nil {
 		r.goes(r.hears)
@@ -165,7 +189,19 @@
 			question := *a.Ask
 			r.goes(func() { r.asks(question) })
 		case a.Save != nil:
-			r.save(*a.Save, nil)
+			var done func(error)
+			if number := a.Kept; number > 0 {
+				done = func(error) { r.with(func(c *Core) []Act { c.Kept(r.now(), number); return nil }) }
+			} else if then := a.Then; then != nil {
+				done = func(err error) {
+					if err == nil {
+						r.with(func(c *Core) []Act { return c.Durable(r.now(), then) })
+					}
+				}
+			}
+			r.save(*a.Save, done)
+		case a.Settled != nil:
+			r.settled(*a.Settled)
 		case a.Tell != nil:
 			r.tell(*a.Tell)
 		case a.Note != "":
@@ -183,13 +219,27 @@
 			return
 		case <-tick.C:
 			seen := r.seen()
-			r.with(func(c *Core) []Act { return c.Tick(r.now(), seen) })
+			r.with(func(c *Core) []Act {
+				return c.Tick(r.now(), float64(r.clock().UnixMicro())/1000, seen)
+			})
+			r.shows()
 		}
 	}
 }
 
+// shows tells voters what is seen of zones, where that is due.
+func (r *Run) shows() {
+	r.mutex.Lock()
+	due := r.core.Shows(r.now())
+	r.mutex.Unlock()
+	if due {
+		zones, demand := r.look()
+		r.with(func(c *Core) []Act { return c.Show(r.now(), zones, demand) })
+	}
+}
+
 func (r *Run) hears() {
-	buffer := make([]byte, 2048)
+	buffer := make([]byte, mostHeard)
 	for {
 		n, from, err := r.udp.ReadFromUDP(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -370,10 +420,73 @@
 		if err != nil {
 			return fmt.Errorf("it holds until the next start, as the disk did not keep it: %w", err)
 		}
-		return nil
 	case <-time.After(orderTime):
 		return errors.New("it holds, and the disk has not kept it yet")
 	}
+	if r.wants == nil {
+		return nil
+	}
+	return r.heldByOthers()
+}
+
+// heldByOthers waits until the order is on the disks of as many machines as copies are made.
+func (r *Run) heldByOthers() error {
+	held := make(chan bool, 1)
+	r.with(func(c *Core) []Act {
+		token, acts := c.HoldOrder(r.now())
+		r.waits.Store(token, held)
+		return acts
+	})
+	select {
+	case ok := <-held:
+		if ok {
+			return nil
+		}
+	case <-time.After(orderTime):
+	}
+	return errors.New("it holds, and is on this machine's disk alone for now")
+}
+
+func (r *Run) settled(s Settled) {
+	if held, there := r.waits.LoadAndDelete(s.Token); there {
+		held.(chan bool) <- s.OK
+	}
+}
+
+// want is something that the relay wants held, or (conn 0) sought.
+type want struct {
+	conn, key uint64
+	at        float64
+}
+
+// Entrust has others hold what a client is told. It is called under the relay's lock and waits for nothing: where too
+// much waits already, the client is told alone.
+func (r *Run) Entrust(conn, key uint64, at float64) { r.want(want{conn, key, at}) }
+
+// Claim seeks what others hold for a client of that key.
+func (r *Run) Claim(key uint64) { r.want(want{key: key}) }
+
+func (r *Run) want(w want) {
+	select {
+	case r.wants <- w:
+	default:
+	}
+}
+
+func (r *Run) holds() {
+	for {
+		select {
+		case <-r.ended:
+			return
+		case w := <-r.wants:
+			r.with(func(c *Core) []Act {
+				if w.conn == 0 {
+					return c.Claim(r.now(), w.key)
+				}
+				return c.Entrust(r.now(), w.conn, w.key, w.at)
+			})
+		}
+	}
 }
 
 // Status is what operators are told.
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -66,8 +66,22 @@
 	Warmth(now float64) (cold, usable int)
 	Restart(now float64)
 	Suppose(now float64)
+	// Shift takes that starts which were told are to be read later by that much.
+	Shift(by float64)
+	// Hush has links wait until then, those that have the time.
+	Hush(until float64)
+	// Late takes how old a server's report may be, ms.
+	Late(most float64)
+	// Placed and Others are the load that figures may not hold yet, of this relay and of the others together.
+	Placed() float64
+	Others(load float64)
+	// Direct has links meant for zones by those parts; Zones gives what was seen of each zone, and this
+	// relay's load.
+	Direct(parts []logic.Direction)
+	Zones(now float64) (all []logic.ZoneLook, demand float64)
 	Told(now float64) map[uint64]float64
 	Promised(now float64, told map[uint64]float64)
+	Forgo(key uint64)
 	Inherit(now float64, r *logic.Record) error
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -24,6 +24,7 @@
 	name = "valeshift.%d.%s"
 	seat = "seat"
 	left = "left" // for the process of that number
+	told = "told" // to it, by another
 )
 
 // Seat is this process's place.
@@ -114,6 +115,7 @@
 		case !alive && n < s.number:
 			os.Remove(path)
 			os.Remove(s.path(n, left))
+			os.Remove(s.path(n, told))
 		case !alive:
 		case n < s.number && n > elder.Number:
 			elder = o
@@ -146,7 +148,18 @@
 }
 
 // Leave leaves a record to the process of that number, whole or not at all.
-func (s *Seat) Leave(number int, record []byte) error {
+func (s *Seat) Leave(number int, record []byte) error { return s.put(number, left, record) }
+
+// Tell tells something to the process of that number; what it has not heard yet is forgotten.
+func (s *Seat) Tell(number int, record []byte) error { return s.put(number, told, record) }
+
+// Left waits for what an elder process leaves to this one, and takes it away.
+func (s *Seat) Left(within time.Duration) ([]byte, error) { return s.get(left, within) }
+
+// Told takes what another process has told, where there is something new.
+func (s *Seat) Told() ([]byte, error) { return s.get(told, 0) }
+
+func (s *Seat) put(number int, kind string, record []byte) error {
 	if len(record) > most {
 		return fmt.Errorf("record: %d bytes, %d at the most", len(record), most)
 	}
@@ -157,7 +170,7 @@
 	_, err = f.Write(record)
 	err = errors.Join(err, f.Close())
 	if err == nil {
-		err = os.Rename(f.Name(), s.path(number, left))
+		err = os.Rename(f.Name(), s.path(number, kind))
 	}
 	if err != nil {
 		os.Remove(f.Name())
@@ -166,9 +179,8 @@
 	return nil
 }
 
-// Left waits for what an elder process leaves to this one, and takes it away.
-func (s *Seat) Left(within time.Duration) ([]byte, error) {
-	path := s.path(s.number, left)
+func (s *Seat) get(kind string, within time.Duration) ([]byte, error) {
+	path := s.path(s.number, kind)
 	for until := time.Now().Add(within); ; time.Sleep(gap) {
 		f, err := os.Open(path)
 		if errors.Is(err, os.ErrNotExist) && time.Now().Before(until) {
--- a/internal/handover/pass.go
+++ b/internal/handover/pass.go
@@ -17,15 +17,21 @@
 	passTime = 500 * time.Millisecond // for the other process's answer
 	way      = "way"                  // the socket of packets that the process of that number listens on
 	taken    = "taken"
+	waits    = "waits" // taken, and not touched until the elder has let go of its own descriptors
 	refused  = "refused"
+	free     = "free" // it has
 )
 
 // ErrRefused says that the other process left the connections to this one.
 var ErrRefused = errors.New("pass: refused")
 
-// Takes has the packets that an elder process passes given to take, which tells whether it has them from then
-// on; if not, the descriptors are closed here and stay the elder's alone. It ends with the process.
-func (s *Seat) Takes(take func(record []byte, files [Pair]*os.File) bool) error {
+// Take takes what an elder process passes, and tells whether it has it from then on. Where it also gives
+// alone, that is called once no other process holds the connections, or after a while.
+type Take func(record []byte, files [Pair]*os.File) (has bool, alone func())
+
+// Takes has the packets that an elder process passes given to take; where that won't have them, the
+// descriptors are closed here and stay the elder's alone. It ends with the process.
+func (s *Seat) Takes(take Take) error {
 	l, err := net.ListenUnix("unixpacket", &net.UnixAddr{Net: "unixpacket", Name: s.path(s.number, way)})
 	if err != nil {
 		return fmt.Errorf("way: %w", err)
@@ -46,7 +52,7 @@
 	return nil
 }
 
-func takeOne(c *net.UnixConn, take func(record []byte, files [Pair]*os.File) bool) bool {
+func takeOne(c *net.UnixConn, take Take) bool {
 	record, rights := make([]byte, packet), make([]byte, syscall.CmsgSpace(4*Pair))
 	n, m, flags, _, err := c.ReadMsgUnix(record, rights)
 	if err != nil || n == 0 {
@@ -61,15 +67,28 @@
 		}
 	}
 	answer := refused
-	if len(got) == Pair && flags&(syscall.MSG_TRUNC|syscall.MSG_CTRUNC) == 0 && take(record[:n], files) {
-		answer = taken
+	var alone func()
+	if len(got) == Pair && flags&(syscall.MSG_TRUNC|syscall.MSG_CTRUNC) == 0 {
+		var has bool
+		if has, alone = take(record[:n], files); has {
+			answer = taken
+		}
 	}
 	for _, f := range files { // whoever took them has others of its own
 		if f != nil {
 			f.Close()
 		}
 	}
-	_, err = c.Write([]byte(answer))
+	if alone == nil {
+		_, err = c.Write([]byte(answer))
+		return err == nil
+	}
+	defer alone()
+	c.SetDeadline(time.Now().Add(passTime))
+	defer c.SetDeadline(time.Time{})
+	if _, err = c.Write([]byte(waits)); err == nil {
+		_, err = c.Read(record) // the word; or its end, which closes all that it had
+	}
 	return err == nil
 }
 
@@ -87,7 +106,10 @@
 }
 
 // Way leads to a younger process.
-type Way struct{ conn *net.UnixConn }
+type Way struct {
+	conn  *net.UnixConn
+	waits bool // the other process does, for this one to let go of what it passed
+}
 
 // Way opens the way to the process of that number.
 func (s *Seat) Way(number int) (*Way, error) {
@@ -95,7 +117,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("way: %w", err)
 	}
-	return &Way{c}, nil
+	return &Way{conn: c}, nil
 }
 
 // Pass passes two connections on. ErrRefused, or an error from before they went out, leaves them here; after
@@ -110,14 +132,32 @@
 	}
 	answer := make([]byte, len(refused))
 	n, err := w.conn.Read(answer)
-	switch {
-	case err != nil:
+	if err != nil {
 		return true, fmt.Errorf("pass: %w", err)
-	case string(answer[:n]) != taken:
+	}
+	switch string(answer[:n]) {
+	case taken:
+	case waits:
+		w.waits = true
+	default:
 		return false, ErrRefused
 	}
 	return true, nil
 }
 
+// Free tells the other process that no descriptor of what was passed last is held here any more. Against its
+// poller's set keeping what it has closed for as long as one is, and telling that of whatever connection has
+// the number next (nbio takes no connection out of the set by itself).
+func (w *Way) Free() error {
+	if !w.waits {
+		return nil
+	}
+	w.waits = false
+	if _, err := w.conn.Write([]byte(free)); err != nil {
+		return fmt.Errorf("pass: %w", err)
+	}
+	return nil
+}
+
 // Close closes the way.
 func (w *Way) Close() { w.conn.Close() }
--- /dev/null
+++ b/internal/lab/audit/audit_test.go
@@ -0,0 +1,30 @@
+package audit
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// A cold server that is sent too much is the fault of relays that were told of this start of its: not of
+// those that know a former one, or none.
+func TestColdCountsWhoWasToldOfThisStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		since  float64 // as the relay was told; 0: never
+		breaks int
+	}{"never told": {0, 0}, "a former start": {100, 0}, "this start": {5000, 1}} {
+		a := New(0, 2, 1000)
+		a.Started(100, "s")
+		a.Started(5000, "s")
+		if c.since > 0 {
+			a.Told(5010, 0, "s", "active", c.since)
+		}
+		for i := range 12 {
+			id, now := fmt.Sprint("link-", i), 5100+float64(i)
+			a.Asked(now, id, 0, "replayable", 1000)
+			a.TryCame(now, id, "s", true, 0.5, 0.1)
+		}
+		assert.Equal(t, c.breaks, a.Counts[Cold], "%s: %v", name, a.Breaks)
+	}
+}
--- a/internal/lab/cost/cost.go
+++ b/internal/lab/cost/cost.go
@@ -288,8 +288,8 @@
 	return first
 }
 
-// memory is what the way's process holds more for each link that stands: so many, or as many as its descriptors
-// allow.
+// memory is what the way's process holds more for each link that stands: so many, or as many as its
+// descriptors allow.
 func (w *way) memory(links int) (each float64, stood int, err error) {
 	_, before := w.use()
 	var open []net.Conn
--- a/internal/lab/cost/cost_test.go
+++ b/internal/lab/cost/cost_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A short measurement runs to its end with nothing failed, and has a figure for each way. What the figures are
-// is the machine's.
+// A short measurement runs to its end with nothing failed, and has a figure for each way. What the figures
+// are is the machine's.
 func TestMeasure(t *testing.T) {
 	dir := t.TempDir()
 	for _, name := range []string{"valeshift", "valelab"} {
--- a/internal/lab/experiment/told.go
+++ b/internal/lab/experiment/told.go
@@ -11,6 +11,16 @@
 var effects = map[string]string{"replayable": "idempotent", "referenced": "deduplicated",
 	"single-use": "at_most_once"}
 
+// ReportAge is what relays are told of how old reports may be, ms; 0: nothing.
+func (x *Experiment) ReportAge() float64 {
+	if !x.Relays.ReportAge {
+		return 0
+	}
+	return float64(x.Fleet.Reports) + wayBack
+}
+
+const wayBack = 50.0 // ms of a report's way, at the most
+
 // Told is what the platform would tell a relay of that zone, under the paths of its settings.
 func (x *Experiment) Told(zone int) map[string]string {
 	number := func(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -33,7 +33,11 @@
 // kinds are in one order, so that a seed draws the same.
 var kinds = func() (all []string) {
 	for k := range experiment.Kinds {
-		all = append(all, k)
+		switch k {
+		case "zone-grey", "region-lost", "zone-busy": // came later: so that seeds before them draw the same
+		default:
+			all = append(all, k)
+		}
 	}
 	slices.Sort(all)
 	return all
@@ -57,7 +61,10 @@
 	if chance.Intn(6) == 0 {
 		x.Relays.MaxBack = 0
 	}
-	x.Network.Delay, x.Network.Jitter = experiment.Span(between(0.05, 5)), experiment.Span(between(0, 5))
+	fine := func(least, most float64) experiment.Span { // as a file can say it, against another play by it
+		return experiment.Span(math.Round(between(least, most)*1000) / 1000)
+	}
+	x.Network.Delay, x.Network.Jitter = fine(0.05, 5), fine(0, 5)
 	x.Network.Split = between(0, 0.2)
 	f := &x.Fleet
 	f.Servers, f.Zones = 2+chance.Intn(14), 1
@@ -105,8 +112,22 @@
 			x.Faults = append(x.Faults, loss)
 		}
 	}
+	// And decide on zones in common.
+	if n := x.Relays.Count; x.Relays.Peers && f.Zones > 1 && chance.Intn(2) == 0 {
+		x.Relays.Council, f.Regions = 1+2*chance.Intn((n+1)/2), 1+chance.Intn(2)
+		kind := []string{"zone-grey", "zone-lost", "zone-cut"}[chance.Intn(3)]
+		x.Faults = append(x.Faults, experiment.Fault{Kind: kind, At: span(2000, float64(x.Length)-3000),
+			For: span(500, 8000), Factor: between(0.2, 1)})
+	}
 	for i := range x.Faults {
-		x.Faults[i].For = min(x.Faults[i].For, x.Length)
+		f := &x.Faults[i]
+		f.For = min(f.For, x.Length)
+		if f.Kind == "clock-wrong" { // by seconds up to hours, either way
+			f.Factor = math.Round(math.Pow(10, 4*chance.Float64())) * float64(1-2*chance.Intn(2))
+		}
+	}
+	if x.Relays.Peers && x.Relays.Disk && chance.Intn(2) == 0 { // last, so that seeds draw the rest as before
+		x.Relays.Holdings = 1 + 2*chance.Intn(3)
 	}
 	if err := x.Complete(); err != nil {
 		panic(fmt.Sprintf("seed %d: %v", seed, err)) // the drawing is wrong
@@ -123,6 +144,10 @@
 	factor := 11000 / float64(x.Length)
 	x.Length, x.Warm = 11000, 1000
 	x.Relays.Count, x.Relays.Peers, x.Relays.Disk, x.Relays.Sockets = 3+chance.Intn(7), true, true, 0
+	x.Relays.Council = min(x.Relays.Council, x.Relays.Count-(x.Relays.Count+1)%2)
+	if seed%2 == 0 {
+		x.Relays.Holdings = 3
+	}
 	x.Relays.Probes, x.Fleet.SetupWork = true, min(x.Fleet.SetupWork, 10)
 	for i := range x.Traffic {
 		x.Traffic[i].Standing, x.Traffic[i].Rate = min(x.Traffic[i].Standing, 80), min(x.Traffic[i].Rate, 15)
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -60,6 +60,7 @@
 	slow     float64 // part of its speed
 	stolen   float64 // part of its cores
 	still    bool
+	grey     float64 // part of the setup tries that it breaks
 
 	conns  map[uint64]*session
 	last   float64 // when work was last reckoned
@@ -202,6 +203,9 @@
 // Slowed sets the part of its speed, Stolen the part of its cores that others take, Still whether it works.
 func (s *Server) Slowed(part float64) { s.advance(); s.slow = part; s.plan() }
 
+// Grey has the server break that part of the setup tries.
+func (s *Server) Grey(part float64) { s.grey = part }
+
 // Stolen sets the part of its cores that somebody else takes.
 func (s *Server) Stolen(part float64) { s.advance(); s.stolen = part; s.plan() }
 
@@ -342,6 +346,10 @@
 	c.trying, c.mayServe = true, true
 	capacity, cold := s.Capacity(now), s.warm(now) < 1
 	s.watch.TryCame(now, c.id, s.Name, cold, capacity, c.load/1000)
+	if s.grey > 0 && s.chance.Float64() < s.grey {
+		s.drop(c, true)
+		return
+	}
 	if s.Draining {
 		s.say(c, "BUSY\r\n")
 		s.drop(c, false)
--- /dev/null
+++ b/internal/lab/sim/council.go
@@ -0,0 +1,127 @@
+package sim
+
+import (
+	"fmt"
+	"strings"
+
+	"valeshift/internal/chamber"
+	"valeshift/internal/council"
+	"valeshift/internal/failover"
+	"valeshift/internal/lab/experiment"
+	"valeshift/internal/peers"
+)
+
+const voterTick = 10.0
+
+// seat is a voter on a relay's machine: what kills one kills both, and the ways between machines are one.
+type seat struct {
+	s      *Sim
+	k      int
+	p      *process
+	core   *chamber.Core
+	disk   []byte
+	saving bool
+}
+
+func voterAddress(k int) string { return fmt.Sprintf("voter-%d", k) }
+
+func (s *Sim) voters() (all []council.Member, addresses []string) {
+	for k := range s.x.Relays.Council {
+		all = append(all, council.Member{Name: fmt.Sprint("v", k), Address: voterAddress(k)})
+		addresses = append(addresses, voterAddress(k))
+	}
+	return all, addresses
+}
+
+// vote starts the voter of a machine, on what its disk has.
+func (s *Sim) vote(k int, p *process) {
+	var disk []byte
+	if s.seats[k] != nil {
+		disk = s.seats[k].disk
+	}
+	all, _ := s.voters()
+	var zones []failover.Zone
+	for z := range s.x.Fleet.Zones {
+		zones = append(zones, failover.Zone{Name: experiment.Zone(z), Region: s.x.Region(z)})
+	}
+	core, err := chamber.New(p.clock(), all[k], all, zones, disk, s.x.Chance("voter", 1000*k+s.lives[k]))
+	if err != nil {
+		panic(err) // of a disk that it wrote itself
+	}
+	v := &seat{s: s, k: k, p: p, core: core, disk: disk}
+	s.seats[k] = v
+	v.tick()
+}
+
+func (v *seat) tick() {
+	if v.p.over {
+		return
+	}
+	if !v.p.frozen {
+		v.core.Tick(v.p.clock(), v.s.wall(v.k))
+		if to := v.core.Asks(v.p.clock()); to != "" && int(v.p.clock()/voterTick)%25 == 0 {
+			v.send(to, failover.Shown, nil)
+		}
+		v.carry()
+	}
+	v.s.net.after(voterTick, v.tick)
+}
+
+func (v *seat) carry() {
+	for !v.saving {
+		out := v.core.Next()
+		if out.Save != nil {
+			v.saving = true
+			v.s.net.after(syncTime, func() {
+				if !v.p.over { // else it is lost with the power
+					v.disk, v.saving = out.Save, false
+					v.sends(out.Send)
+					v.core.Saved()
+					v.carry()
+				}
+			})
+			return
+		}
+		if len(out.Send) == 0 {
+			return
+		}
+		v.sends(out.Send)
+	}
+}
+
+func (v *seat) sends(all []council.Send) {
+	for _, m := range all {
+		v.send(m.To, failover.Frame, m.Data)
+	}
+}
+
+func (v *seat) send(to string, kind byte, data []byte) {
+	v.s.datagram(v.k, peers.Datagram{To: to, Data: append([]byte{kind}, data...)}, voterAddress(v.k))
+}
+
+// heard takes a datagram for a voter; a relay's is sealed, and a voter's word to it as well.
+func (v *seat) heard(from string, data []byte) {
+	relay := strings.HasPrefix(from, "peer-")
+	if relay {
+		body, err := peers.Open(fleetKey, data)
+		if err != nil {
+			return
+		}
+		data = body
+	}
+	now := v.p.clock()
+	switch data[0] {
+	case failover.Frame:
+		v.core.Take(now, data[1:])
+	case failover.Shown:
+		if word, err := v.core.Hear(now, data[1:]); err == nil && relay {
+			v.s.datagram(v.k, peers.Datagram{To: from,
+				Data: peers.Seal(fleetKey, append([]byte{failover.Says}, word...))}, voterAddress(v.k))
+		} else if err == nil {
+			v.send(from, failover.Says, word)
+		}
+	case failover.Says:
+		v.core.Told(now, data[1:])
+	}
+	v.carry()
+}
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -19,6 +19,7 @@
 [fleet]
 servers = 8
 zones = 2
+regions = 2
 [[traffic]]
 category = "chat"
 rate = 20
@@ -78,8 +79,8 @@
 	}
 }
 
-// While discovery is away, relays that are back serve by the list that the platform keeps for them, and nobody
-// where nothing keeps it. Against a simulation that knows more than processes do.
+// While discovery is away, relays that are back serve by the list that the platform keeps for them, and
+// nobody where nothing keeps it. Against a simulation that knows more than processes do.
 func TestBackWithoutList(t *testing.T) {
 	setups := map[bool]int{}
 	for _, known := range []bool{false, true} {
--- a/internal/lab/spoiled/spoiled.go
+++ b/internal/lab/spoiled/spoiled.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -91,3 +92,16 @@
 	f.held = nil
 	return f.File.Sync()
 }
+
+// Clock is how far a machine's clock is off: milliseconds in a file. None where it can't be read.
+func Clock(path string) time.Duration {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0
+	}
+	ms, err := strconv.ParseFloat(strings.TrimSpace(string(text)), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- a/internal/lab/way/way.go
+++ b/internal/lab/way/way.go
@@ -1,6 +1,6 @@
-// Package way is what lies between two machines of the lab, by ordered pair: a forwarder for TCP and UDP whose
-// two directions can be cut, slowed, doubled and so on while it runs. What it does to a direction is a State;
-// the package never knows what passes.
+// Package way is what lies between two machines of the lab, by ordered pair: a forwarder for TCP and UDP
+// whose two directions can be cut, slowed, doubled and so on while it runs. What it does to a direction is a
+// State; the package never knows what passes.
 package way
 
 import (
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,15 +12,32 @@
 	"net/netip"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 )
 
 // File is all that the file can say. Later parts add sections.
 type File struct {
-	Log   Log   `toml:"log"`
-	Peers Peers `toml:"peers"`
-	Disk  Disk  `toml:"disk"`
+	Log     Log     `toml:"log"`
+	Servers Servers `toml:"servers"`
+	Peers   Peers   `toml:"peers"`
+	Disk    Disk    `toml:"disk"`
+	Council Council `toml:"council"`
+
+	Holdings Holdings `toml:"holdings"`
+}
+
+// Holdings says on how many machines lies what one has given its word for; 0: on its own alone.
+type Holdings struct {
+	Copies int `toml:"copies"`
+}
+
+const mostCopies = 7
+
+// Council says which voters decide in common on zones; without any each relay decides alone.
+type Council struct {
+	Voters []string `toml:"voters"` // address:port of each
 }
 
 // Peers says where this relay hears the others of its fleet; without an address it knows of none.
@@ -33,6 +50,32 @@
 	KeyFile string   `toml:"key-file"`   // whose text all relays of the fleet share
 }
 
+// Servers says what is known of them in general.
+type Servers struct {
+	ReportAge Age `toml:"report-age"` // that a report may have as it arrives, at the most; 0: not known
+}
+
+// Age is milliseconds, written like "250ms".
+type Age float64
+
+const mostAge = time.Minute
+
+// UnmarshalText reads an age.
+func (a *Age) UnmarshalText(text []byte) error {
+	ms, ok := Length(text, mostAge)
+	if !ok {
+		return fmt.Errorf("a length from 0 to %s expected, such as \"250ms\", got %q", mostAge, text)
+	}
+	*a = Age(ms)
+	return nil
+}
+
+// Length reads a length of time such as "250ms" as milliseconds; false where it is none from 0 to the most.
+func Length(text []byte, most time.Duration) (ms float64, ok bool) {
+	d, err := time.ParseDuration(string(text))
+	return float64(d) / float64(time.Millisecond), err == nil && d >= 0 && d <= most
+}
+
 // Disk says where this relay keeps what outlives it; without a folder it keeps nothing.
 type Disk struct {
 	Folder string `toml:"folder"`
@@ -65,6 +108,19 @@
 			return fmt.Errorf("%s: %d bytes at the most expected, got %d", name.field, mostName, len(name.value))
 		}
 	}
+	for i, address := range f.Council.Voters {
+		if at, err := netip.ParseAddrPort(address); err != nil || at.Port() == 0 {
+			return fmt.Errorf("council.voters.%d: address:port expected, got %q", i, address)
+		}
+	}
+	if len(f.Council.Voters) > 0 && (p.Listen == "" || p.Zone == "") {
+		return errors.New("council.voters: peers.listen and peers.zone expected beside it, got nothing")
+	}
+	if n := f.Holdings.Copies; n < 0 || n > mostCopies || (n > 0 && n%2 == 0) {
+		return fmt.Errorf("holdings.copies: 0, 1, 3, 5 or %d expected, got %d", mostCopies, n)
+	} else if n > 0 && (p.Listen == "" || f.Disk.Folder == "") {
+		return errors.New("holdings.copies: peers.listen and disk.folder expected beside it, got nothing")
+	}
 	if f.Disk.MostMB < 0 {
 		return fmt.Errorf("disk.most-mb: no less than 0 expected, got %d", f.Disk.MostMB)
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,6 +28,7 @@
 	Age                float64 // since its start, ms
 	Phase              uint8
 	List               uint64 // version of the list that it has
+	Placed             uint64 // load that it placed and figures may not hold yet, microseconds of work a second
 	Waiting, Links     uint32 // clients turned away in the last second and not served; links that stand
 	Order              uint64 // number of the operators' last order to it, and whether it is to be empty
 	Lame               bool
@@ -51,6 +52,7 @@
 	State State
 	Heard float64 // when its word last was news here; of this relay's clock
 	since float64 // of the word's age: when it was
+	Off   float64 // what its clock was ahead of this relay's, by its own last datagram that came; NaN: none did
 	bound string  // address by which it answered, which goes before the one it says
 	place *list.Element
 }
@@ -62,7 +64,7 @@
 }
 
 const (
-	version    = 1
+	version    = 2
 	period     = 200.0
 	fanOut     = 2
 	mostFrame  = 1200 // bytes, under what any way takes whole
@@ -70,7 +72,7 @@
 	mostNames  = 4096
 	mostText   = 64
 	tag        = 16
-	header     = 4 + 1 + 1 + 1
+	header     = 4 + 1 + 2 + 8
 	suspectMin = 1200.0 // without news of a relay it is suspected, at the least
 	goneTimes  = 2.0    // that time, and it is held to be gone
 	rounds     = 6.0    // times the mean time between news of one relay, before it is suspected
@@ -102,6 +104,7 @@
 	backs   float64    // answers left
 	backsAt float64
 	Counts  Counts
+	Off     float64 // what the machine's clock is ahead of the times that come in
 	Only    bool    // others are reached by the seeds' addresses alone
 	Twin    float64 // when another process under this relay's name was last heard; 0: never
 }
@@ -148,8 +151,8 @@
 	return all
 }
 
-// patience is how long a relay may be without news here before it is suspected: some times what news of one of
-// so many takes, as each datagram has room for a part of them only.
+// patience is how long a relay may be without news here before it is suspected: some times what news of one
+// of so many takes, as each datagram has room for a part of them only.
 func (p *Peers) patience() float64 {
 	news := float64(len(p.names)) / (mostWords * 2 * fanOut) * period
 	return max(suspectMin, rounds*(news+period))
@@ -185,8 +188,8 @@
 	return out
 }
 
-// targets draws whom to tell: members that live, by chance; now and then one that is gone; and each time a seed
-// that has not answered yet.
+// targets draws whom to tell: members that live, by chance; now and then one that is gone; and each time a
+// seed that has not answered yet.
 func (p *Peers) targets(now float64) (to []string) {
 	add := func(address string) {
 		if address != "" && !slices.Contains(to, address) {
@@ -236,6 +239,7 @@
 		kind = 1
 	}
 	data = append(data, kind, 0, 0) // and how many words
+	data = binary.LittleEndian.AppendUint64(data, math.Float64bits(now+p.Off))
 	p.own.Age = now - p.began
 	data = appendWord(data, p.own)
 	count := 1
@@ -291,6 +295,10 @@
 	for i, w := range words {
 		p.hear(now, w, i == 0)
 	}
+	clock := math.Float64frombits(binary.LittleEndian.Uint64(body[7:]))
+	if m := p.members[words[0].Name]; m != nil && !math.IsNaN(clock) && !math.IsInf(clock, 0) {
+		m.Off = clock - now // less the way, which is short
+	}
 	if slices.Contains(p.seeds, from) {
 		p.bind(from, words[0].Name)
 	}
@@ -329,7 +337,7 @@
 		if len(p.names) >= mostNames {
 			return
 		}
-		m = &Member{Word: w, Heard: now, since: now}
+		m = &Member{Word: w, Heard: now, since: now, Off: math.NaN()}
 		p.members[w.Name] = m
 		m.place = p.recent.PushFront(m)
 		at, _ := slices.BinarySearch(p.names, w.Name)
@@ -412,7 +420,8 @@
 	to = append(to, flags)
 	to = binary.LittleEndian.AppendUint64(to, w.Life)
 	age := uint64(min(max(w.Age, 0), 1e15))
-	for _, n := range []uint64{w.Boot, w.Beat, age, w.List, uint64(w.Waiting), uint64(w.Links), w.Order} {
+	for _, n := range []uint64{w.Boot, w.Beat, age, w.List, uint64(w.Waiting), uint64(w.Links), w.Order,
+		w.Placed} {
 		to = binary.AppendUvarint(to, n)
 	}
 	return to
@@ -434,7 +443,7 @@
 		}
 		w.Phase, w.Lame, w.Life = data[0]>>1, data[0]&1 == 1, binary.LittleEndian.Uint64(data[1:])
 		data = data[9:]
-		var numbers [7]uint64
+		var numbers [8]uint64
 		for i := range numbers {
 			n, size := binary.Uvarint(data)
 			if size <= 0 {
@@ -447,6 +456,7 @@
 		}
 		w.Boot, w.Beat, w.Age, w.List = numbers[0], numbers[1], float64(numbers[2]), numbers[3]
 		w.Waiting, w.Links, w.Order = uint32(numbers[4]), uint32(numbers[5]), numbers[6]
+		w.Placed = numbers[7]
 		words = append(words, w)
 	}
 	if len(data) > 0 {
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -217,7 +217,8 @@
 		len(others))
 }
 
-// Believe makes one of what the disk and the others have kept. Loads are not among it: none is worth anything.
+// Believe makes one of what the disk and the others have kept. Loads are not among it: none is worth
+// anything.
 func Believe(disk Voice, voices []Voice, whole bool) (kept *relay.Kept, took, left []string) {
 	all := voices
 	if disk.Kept != nil {
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -92,8 +92,8 @@
 	assert.Nil(t, k)
 }
 
-// Whatever is read, heard and answered, and when, and whatever never is: asking ends within its bound, all ends
-// within the next, and the part is none that cannot be.
+// Whatever is read, heard and answered, and when, and whatever never is: asking ends within its bound, all
+// ends within the next, and the part is none that cannot be.
 func TestNobodyWaits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		disk, others := rapid.Bool().Draw(t, "disk"), rapid.Bool().Draw(t, "others")
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -109,13 +109,15 @@
 		named[b] = true
 		switch e.Status {
 		case "active":
-			b.condition = logic.Ready
+			if b.condition = logic.Ready; r.dismissed[e.Name] {
+				b.condition = logic.Draining
+			}
 		case "leaving":
 			b.condition = logic.Draining
 		default:
 			b.condition = logic.Gone
 		}
-		r.table.Balancer.Listed(b.id, r.zone(e.Zone), b.condition, e.Group, e.Since, e.Weight)
+		r.table.Balancer.Listed(b.id, r.zone(e.Zone), b.condition, e.Group, r.started(e), e.Weight)
 		if b.probe != nil && moved {
 			r.probeOver(b)
 		}
@@ -157,7 +159,7 @@
 		if by := at[b.Address]; by != nil && !named[b] && b.condition != logic.Gone {
 			r.note("backend's address is another's now", "backend", b.Name, "by", by.Name)
 			b.condition = logic.Gone
-			r.table.Balancer.Listed(b.id, r.zone(b.Zone), logic.Gone, b.Group, b.Since, b.Weight)
+			r.table.Balancer.Listed(b.id, r.zone(b.Zone), logic.Gone, b.Group, r.started(b.Entry), b.Weight)
 		}
 	}
 }
@@ -170,6 +172,9 @@
 	}
 	r.arm(&r.watched, r.now+watchBeat)
 	r.heardAt = r.now
+	if e.News != nil && e.News.Clock > 0 {
+		r.dated = e.News.Clock - r.now
+	}
 	r.confirmed = r.confirmed || e.Kind == ListNews || r.asked > 0
 	if e.Kind == ListHeard {
 		return
@@ -189,8 +194,14 @@
 	}
 	r.untold = false
 	r.disarm(&r.renewing)
+	if e.News.Whole && !r.elder && !r.younger {
+		r.dismissed = nil
+	}
 	r.apply(e.News)
 	r.told = true
+	if r.elder || r.younger {
+		r.do(Effect{Do: Confide, News: r.listNow()})
+	}
 }
 
 func (r *Reducer) listFailed(why string) {
@@ -198,7 +209,9 @@
 	r.watching = 0
 	r.disarm(&r.watched)
 	r.table.Balancer.ListFailed(r.now)
-	if r.untold { // the module's waits grow beyond the time in which a new one counts as having told
+	// The module's waits grow beyond the time in which a new discovery counts as having told, and in which
+	// another process of this relay has been told.
+	if r.untold || r.younger {
 		r.arm(&r.renewing, r.now+renewGap)
 	}
 }
@@ -225,11 +238,17 @@
 	r.listFailed("silent")
 }
 
+// watch asks for what is new; for the whole list where a younger process of this relay is there. That one is
+// told all there is by its first call, and both are one relay to who drains a server: against changes told
+// late.
 func (r *Reducer) watch() {
 	r.Watches++
 	r.watches++
 	r.watching, r.asked = r.watches, r.index
-	r.do(Effect{Do: Watch, Conn: r.watching, After: r.index, Text: r.source})
+	if r.younger || len(r.dismissed) > 0 {
+		r.asked = 0
+	}
+	r.do(Effect{Do: Watch, Conn: r.watching, After: r.asked, Text: r.source})
 	beat := watchBeat
 	if r.untold {
 		beat = renewBeat
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	"valeshift/internal/settings"
 )
@@ -23,7 +24,9 @@
 	Seed                    uint64
 	Cores, MemoryMB         float64
 	Sockets                 int
-	Besides                 int // descriptors that are needed besides, for the disk and other relays
+	ReportAge               float64          // ms that a server's report may be old; 0: nobody says
+	Clock                   func() time.Time // the machine's
+	Besides                 int              // descriptors needed besides, for the disk and other relays
 	Known                   *News
 	Settings                map[string]string
 
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -12,6 +12,7 @@
 	BadClients                                     [len(badNames)]uint64
 	Tries, Written, Probes, Watches                uint64 // sent; Written: heads
 	Satisfied, Rejected, Errored, Unwanted, Pushed uint64 // answered: UP, BUSY, ERR; client gone first; MOVE
+	Entrusted, Alone                               uint64 // BUSY that other relays hold as well; or that they should
 	Pieces, Lines                                  uint64 // of what standing clients said; passed to them
 	Endings                                        [len(endingNames)]uint64
 	Open, Standing, Most                           int // now, now, and the most sockets at once
@@ -27,7 +28,8 @@
 		slog.Group("sent", "tries", c.Tries, "written", c.Written, "probes", c.Probes, "watches", c.Watches,
 			"lines", c.Lines),
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
-			"unwanted", c.Unwanted, "moved", c.Pushed),
+			"unwanted", c.Unwanted, "moved", c.Pushed,
+			"entrusted", c.Entrusted, "alone", c.Alone),
 		slog.Group("endings", endings...),
 		slog.Group("bad clients", bad...),
 		slog.Group("sockets", "open", c.Open, "standing", c.Standing, "most", c.Most))
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -30,6 +30,7 @@
 	Index   uint64
 	Whole   bool
 	Entries []Entry
+	Clock   float64 `json:"-"` // discovery's; 0: not told
 }
 
 func readNews(text []byte) (*News, error) {
@@ -71,6 +72,15 @@
 	return n, nil
 }
 
+// dated is discovery's clock as it answered, to half a second; 0: it does not say.
+func dated(answer *http.Response) float64 {
+	at, err := http.ParseTime(answer.Header.Get("Date"))
+	if err != nil {
+		return 0
+	}
+	return float64(at.UnixMilli()) + 500 // cut off to seconds there
+}
+
 // discovery holds one watch at a time.
 type discovery struct {
 	client *http.Client
@@ -111,6 +121,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("watch: status %d", answer.StatusCode)
 	}
+	clock, came := dated(answer), time.Now()
 	lines := bufio.NewScanner(answer.Body)
 	lines.Buffer(make([]byte, 0, 4096), 16<<20)
 	for lines.Scan() {
@@ -122,6 +133,9 @@
 		if err != nil {
 			return err
 		}
+		if clock > 0 {
+			news.Clock = clock + float64(time.Since(came))/float64(time.Millisecond)
+		}
 		d.take(Event{Kind: ListNews, Conn: number, News: news})
 	}
 	if err := lines.Err(); err != nil {
--- a/internal/relay/passing.go
+++ b/internal/relay/passing.go
@@ -77,6 +77,9 @@
 	if gone { // the other process's descriptors keep them up
 		c.nb.Close()
 		b.nb.Close()
+		if err := p.way.Free(); err != nil && !p.closed {
+			s.log.Warn("can't say that a link was let go", "err", err)
+		}
 	}
 }
 
@@ -165,11 +168,12 @@
 	return syscall.ENOENT
 }
 
-// adopt takes a link that the elder process passes.
-func (s *Sockets) adopt(text []byte, files [handover.Pair]*os.File) bool {
+// adopt takes a link that the elder process passes. Where that says when it has let go, nothing is read or
+// written before.
+func (s *Sockets) adopt(text []byte, files [handover.Pair]*os.File) (bool, func()) {
 	record := &Passed{}
 	if json.Unmarshal(text, record) != nil {
-		return false
+		return false, nil
 	}
 	var both [handover.Pair]*nbio.Conn
 	for i, f := range files {
@@ -181,7 +185,7 @@
 			if both[0] != nil {
 				both[0].Close()
 			}
-			return false
+			return false, nil
 		}
 	}
 	s.mutex.Lock()
@@ -193,15 +197,41 @@
 	if s.adopted == 0 {
 		both[0].Close()
 		both[1].Close()
-		return false
+		return false, nil
 	}
+	var links [handover.Pair]*socket
 	for i, conn := range [...]uint64{client, s.adopted} {
-		c := &socket{conn: conn, nb: both[i]}
-		both[i].SetSession(c)
-		s.open[conn] = c
-		if _, err := s.engine.AddConn(both[i]); err != nil {
-			s.work.do(func() { s.take(Event{Kind: Over, Conn: conn, Broken: true}) })
+		links[i] = &socket{conn: conn, nb: both[i], early: true}
+		both[i].SetSession(links[i])
+		s.open[conn] = links[i]
+	}
+	if record.Frees {
+		return true, func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.polls(links)
+		}
+	}
+	s.polls(links)
+	return true, nil
+}
+
+// polls begins to read what was adopted, and writes what is to be written by now.
+func (s *Sockets) polls(links [handover.Pair]*socket) {
+	for _, c := range links {
+		if c.early = false; s.open[c.conn] != c {
+			continue
+		}
+		if _, err := s.engine.AddConn(c.nb); err != nil {
+			s.work.do(func() { s.take(Event{Kind: Over, Conn: c.conn, Broken: true}) })
+			continue
+		}
+		if c.closing.Load() {
+			c.hurry()
+		}
+		if len(c.later) > 0 {
+			c.nb.Write(c.later)
+			c.later = nil
 		}
 	}
-	return true
 }
--- a/internal/relay/recall.go
+++ b/internal/relay/recall.go
@@ -25,8 +25,8 @@
 	Categories map[string]KeptCategory
 	Back       map[uint64]float64 // clock times, by key
 
-	// Own and Figures are of warm servers: the load of this relay's links there, and the sum of their figures. Of
-	// those and of how many links each relay has, what a server bears can be told for the whole fleet.
+	// Own and Figures are of warm servers: the load of this relay's links there, and the sum of their figures.
+	// Of those and of how many links each relay has, what a server bears can be told for the whole fleet.
 	Own     float64 `json:"-"`
 	Figures float64 `json:"-"`
 
@@ -43,15 +43,16 @@
 	Turned       int // clients turned away so far
 	Waiting      int // of those, in the last second
 	Links        int
-	Cold, Usable int // servers
-	Lame         bool
+	Cold, Usable int     // servers
+	Placed       float64 // load that figures may not hold yet
+	Dated        float64 // what discovery's clock is ahead of this relay's, to half a second; NaN: not told
 }
 
 // Seen is that.
 func (r *Reducer) Seen(now float64) Seen {
 	cold, usable := r.table.Balancer.Warmth(now)
 	return Seen{Now: now, Told: r.confirmed, Index: r.index, Turned: int(r.Rejected), Links: r.links, Cold: cold,
-		Usable: usable, Lame: r.lame}
+		Usable: usable, Dated: r.dated, Placed: r.table.Balancer.Placed()}
 }
 
 // KeptCategory is what links of one category weigh, and how many that stands on.
@@ -158,3 +159,32 @@
 	}
 	r.recovering = on
 }
+
+// started is when a server started by this relay's own clock.
+func (r *Reducer) started(e Entry) float64 {
+	if e.Since <= 0 {
+		return e.Since
+	}
+	return e.Since + r.ahead
+}
+
+// clocked takes how far this relay's clock is ahead of what the fleet takes for right.
+func (r *Reducer) clocked(ahead float64) {
+	r.table.Balancer.Shift(ahead - r.ahead)
+	r.note("clock", "ahead of the fleet's, ms", math.Round(ahead))
+	r.ahead = ahead
+}
+
+const (
+	asleep   = 1000.0 // that a timer is late by: this process was stopped
+	readTime = 150.0  // for what came meanwhile to be read
+)
+
+// woken takes that this process was stopped and goes on now. The watch gets the time to say what it has.
+func (r *Reducer) woken(now float64) {
+	r.note("stopped for a while", "ms", math.Round(now-r.timers[0].at))
+	r.table.Balancer.Hush(now + readTime)
+	if r.watched.place > 0 && r.watched.at < now+readTime {
+		r.arm(&r.watched, now+readTime)
+	}
+}
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -37,6 +37,7 @@
 	Stop                   // the relay is to stop
 	LameDuck               // the relay is to be emptied, or (Off) to go back to work
 	Beside                 // which other processes of this relay are alive
+	Confided               // another process of this relay has been told the list News
 	Part                   // the standing link of the client Conn can be passed to the younger process now
 	Given                  // and is there, or (Off) stays here
 	Adopt                  // the elder process passes a standing link, Passed, its client to be Conn
@@ -44,6 +45,12 @@
 	Recalled               // what is known from before the start, here or at other relays, is Kept
 	Restarted              // another life of this relay may have served until just now
 	Recovers               // the whole fleet lost power and recovers, or (Off) has recovered
+	Clocked                // this relay's clock is Ahead of what the fleet takes for right
+	Directed               // a decision in common has links meant for zones: Toward, or none
+	Holds                  // other relays hold what this one gives its word for; others claim what they hold for it
+	Entrusted              // they hold what the client Conn is about to be told, or (Off) they don't
+	Claimed                // a client of Key was told to come at At, by this relay or another, and that is its to keep
+	Beyond                 // others placed the load Placed, which figures may not hold yet; below 0: not known
 )
 
 // Event is one thing that happened.
@@ -66,6 +73,11 @@
 	Passed *Passed // Adopt
 	Kept   *Kept   // Recalled
 	Part   float64 // Recovers: of what cold servers bear, that this relay is to take
+	Ahead  float64 // Clocked: ms
+	Placed float64 // Beyond
+	Toward []Toward
+	Key    uint64  // Claimed
+	At     float64 // Claimed
 }
 
 // Do is what an effect asks for.
@@ -89,6 +101,9 @@
 	Adopted  // a passed link is here, with the backend's connection as Peer
 	Ready    // the relay is fit to serve from now on
 	Bequeath // leave Left to the younger process
+	Confide  // tell the other process of this relay of the list News
+	Entrust  // have other relays hold that the client Conn of Key is told to come at At: Entrusted
+	Claim    // seek what they hold for a client of Key: Claimed, if anything
 )
 
 // Effect is one thing to be done, in order.
@@ -101,8 +116,10 @@
 	After  uint64
 	Args   []any
 	Left   *Handover
+	News   *News
 	Peer   uint64
 	Passed *Passed
+	Key    uint64
 }
 
 const (
@@ -152,7 +169,7 @@
 	backend *backend // that it goes to; nil: a client's
 	up      bool     // a backend's
 	pings   int
-	since   float64 // a client's: when it came
+	since   float64 // a client's: when it came; a backend's: its start, as it was told at the choice
 	brought float64 // and when it last brought anything of its head
 	in      lines.Splitter
 	wait    timer
@@ -166,7 +183,8 @@
 	trying                // a setup try is out
 	resuming              // it stood before the start, and its backend is asked
 	standing
-	parting // it stands, and is on its way to the younger process
+	parting    // it stands, and is on its way to the younger process
+	entrusting // its answer is known, and other relays are about to hold it
 	done
 )
 
@@ -241,12 +259,16 @@
 	confirmed  bool    // or that the one it has holds still
 	heardAt    float64 // from it, last
 	recovering bool
+	holds      bool
+	ahead      float64 // of the fleet's clock, ms
+	dated      float64 // what discovery's clock was ahead of this relay's, as last told; NaN: never
 
-	stopping bool
-	lame     bool    // emptied, but not to stop
-	stopAt   float64 // when either began
-	final    timer
-	quit     bool
+	stopping  bool
+	dismissed map[string]bool // servers that another process was told are to get nothing new
+	lame      bool            // emptied, but not to stop
+	stopAt    float64         // when either began
+	final     timer
+	quit      bool
 
 	elder, younger bool      // another process of this relay, beside this one
 	yielded        bool      // to the younger: no client is taken any more
@@ -264,9 +286,12 @@
 
 // NewOn does so on a module that is made already.
 func NewOn(now float64, t *Told, balancer hand.Module) (*Reducer, error) {
+	if t.ReportAge > 0 {
+		balancer.Late(t.ReportAge)
+	}
 	p := settings.Over(t.Settings)
-	r := &Reducer{now: now, armed: math.Inf(1), ends: map[uint64]*end{}, ids: map[string]*link{},
-		dials: dialed, categories: p.Names("categories"), parties: p.Names("parties"),
+	r := &Reducer{now: now, dated: math.NaN(), armed: math.Inf(1), ends: map[uint64]*end{},
+		ids: map[string]*link{}, dials: dialed, categories: p.Names("categories"), parties: p.Names("parties"),
 		zones: p.Places("localities"), fields: p.Fields(), reports: p.Text("stats.how") == "answers",
 		mayCancel: p.Text("limits.may-cancel") != "false",
 		maxBack:   p.MaxBack(), connectTime: p.Number("limits.connect-timeout-ms"),
@@ -324,6 +349,9 @@
 
 // Take takes one event and gives what is to be done, good until the next call.
 func (r *Reducer) Take(now float64, e Event) []Effect {
+	if len(r.timers) > 0 && now > r.timers[0].at+asleep {
+		r.woken(now)
+	}
 	r.now = now
 	switch e.Kind {
 	case Tick:
@@ -344,6 +372,8 @@
 		r.lameDuck(!e.Off)
 	case Beside:
 		r.beside(e)
+	case Confided:
+		r.confided(e.News)
 	case Part:
 		r.part(e.Conn)
 	case Given:
@@ -358,6 +388,18 @@
 		r.table.Balancer.Restart(r.now)
 	case Recovers:
 		r.recovers(!e.Off, e.Part)
+	case Clocked:
+		r.clocked(e.Ahead)
+	case Directed:
+		r.directed(e.Toward)
+	case Holds:
+		r.holds = true
+	case Entrusted:
+		r.entrusted(e.Conn, !e.Off)
+	case Claimed:
+		r.table.Balancer.Promised(r.now, map[uint64]float64{e.Key: e.At})
+	case Beyond:
+		r.table.Balancer.Others(e.Placed)
 	}
 	for len(r.timers) > 0 && r.timers[0].at <= now {
 		heap.Pop(&r.timers).(*timer).fire()
@@ -481,7 +523,7 @@
 // dial starts a connection to the backend.
 func (r *Reducer) dial(b *backend, l *link) *end {
 	r.dials++
-	c := r.add(&end{conn: r.dials, backend: b, link: l})
+	c := r.add(&end{conn: r.dials, backend: b, link: l, since: b.Since})
 	r.do(Effect{Do: Dial, Conn: c.conn, Text: b.Address})
 	return c
 }
@@ -677,6 +719,7 @@
 		// are once they go on, and whoever comes then waits to be accepted until its time is up.
 		r.Carry(l, logic.Answer{Verdict: logic.Reject, Wait: r.maxBack})
 	default:
+		r.claims(l)
 		r.table.Place(r.now, l)
 	}
 }
@@ -692,7 +735,9 @@
 	case logic.Reject:
 		r.Rejected++
 		r.answers[l.Category].refused++
-		r.answer(l, busyLine(a.Wait))
+		if !r.entrusts(l, a.Wait) {
+			r.answer(l, busyLine(a.Wait))
+		}
 	case logic.Fail:
 		r.Errored++
 		r.answers[l.Category].failed++
@@ -737,8 +782,9 @@
 func (r *Reducer) tryUp(l *link) {
 	c := l.server
 	c.up = true
-	if l.stage == trying && c.backend.condition != logic.Ready {
-		// Against a send to a backend that has begun to drain since it was chosen.
+	if l.stage == trying && (c.backend.condition != logic.Ready || c.backend.Since > c.since) {
+		// Against a send to a backend that has begun to drain since it was chosen, or is cold by what was
+		// told since: all that were chosen while it was held to be warm would come to it at once.
 		r.tryOver(l, NotSent)
 		return
 	}
@@ -829,6 +875,9 @@
 		r.Unwanted++
 		r.table.Balancer.Vanished(&l.Link.Link)
 		r.leaveHand(l)
+	case entrusting:
+		r.Unwanted++
+		r.leaveHand(l)
 	case resuming:
 		r.Unwanted++
 		if l.server != nil {
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -28,6 +28,7 @@
 
 	"valeshift/internal/handover"
 	"valeshift/internal/ops"
+	"valeshift/logic"
 )
 
 const (
@@ -49,6 +50,8 @@
 	dropped int          // bytes that came since, and went nowhere
 	reading sync.Mutex   // held while it is read
 	passed  bool         // to the younger process, under reading
+	early   bool         // adopted from the elder, which has not let go of it: nothing is read or written
+	later   []byte       // to be written then, counted as unsent
 }
 
 // Sockets runs one relay.
@@ -75,6 +78,7 @@
 	listener *net.TCPListener
 	seat     *handover.Seat // among the processes of this relay; nil: there can be no other
 	younger  int            // number of the one that was left to
+	other    int            // of the one that is there, and nearest; 0: none
 	passing  passing
 	parted   *Passed // and
 	adopted  uint64  // of the event that is carried out
@@ -84,21 +88,28 @@
 
 // Mates is what this relay keeps and hears from others. Of what is told, nothing may wait for any of them.
 type Mates interface {
-	// Start begins: tell gives the relay an event, seen and kept ask it how it fares and what it knows.
-	Start(now float64, tell func(Event), seen func() Seen, kept func() *Kept) error
-	// Order takes an operators' order to empty the relay, or take it back to work; an error says what is missing.
+	// Start begins: tell gives the relay an event; seen, kept and looked ask it how it fares, what it knows
+	// and what it has seen of zones.
+	Start(now float64, tell func(Event), seen func() Seen, kept func() *Kept,
+		looked func() (map[string]logic.ZoneLook, float64)) error
+	// Order takes an operators' order to empty the relay, or take it back to work; an error says what is
+	// missing.
 	Order(lame bool) error
+	// Entrust has others hold that a client of that key is told to come at that time: the event Entrusted follows.
+	// Claim seeks what they hold for one: Claimed, if anything. Neither waits for anything.
+	Entrust(conn, key uint64, at float64)
+	Claim(key uint64)
 	Status() any
 	Stop()
 }
 
-// Serve runs the relay until it has stopped, with its mates where it has some. Again reads anew what the relay
-// is told, and gives what is to be done besides once that is found to be right as a whole; stop, print and
-// reload bring the signals.
+// Serve runs the relay until it has stopped, with its mates where it has some. Again reads anew what the
+// relay is told, and gives what is to be done besides once that is found to be right as a whole; stop, print
+// and reload bring the signals.
 func Serve(t *Told, mates Mates, again func() (*Told, func(), error), log *slog.Logger,
 	stop, print, reload <-chan struct{}) error {
 	now := time.Now()
-	s := &Sockets{log: log, base: now, baseMS: float64(now.UnixMicro()) / 1000, open: map[uint64]*socket{},
+	s := &Sockets{log: log, base: now, baseMS: float64(t.Clock().UnixMicro()) / 1000, open: map[uint64]*socket{},
 		dialing: map[uint64]*dialing{}, quit: make(chan struct{})}
 	if err := s.sit(t); err != nil {
 		return err
@@ -135,7 +146,7 @@
 	}
 	s.take(Event{Kind: Tick})
 	if s.mates = mates; mates != nil {
-		if err := mates.Start(s.now(), s.take, s.looks, s.keeps); err != nil {
+		if err := mates.Start(s.now(), s.take, s.looks, s.keeps, s.lookedAt); err != nil {
 			return err
 		}
 		defer mates.Stop()
@@ -178,6 +189,12 @@
 	return s.reducer.Seen(s.now())
 }
 
+func (s *Sockets) lookedAt() (map[string]logic.ZoneLook, float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reducer.Looked(s.now())
+}
+
 func (s *Sockets) keeps() *Kept {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -208,7 +225,7 @@
 	if t.Elder = elder.Number > 0; !t.Elder {
 		return nil
 	}
-	s.besides.Elder = true
+	s.besides.Elder, s.other = true, elder.Number
 	text, err := s.seat.Left(leftWait)
 	if err == nil {
 		t.Left, err = ReadHandover(text, s.now())
@@ -228,13 +245,20 @@
 		s.younger, s.besides = younger.Number, e
 		s.take(e)
 	}
+	if s.other = max(elder.Number, younger.Number); s.other > 0 {
+		var news *News
+		if text, err := s.seat.Told(); err == nil && json.Unmarshal(text, &news) == nil && news != nil {
+			s.take(Event{Kind: Confided, News: news})
+		}
+	}
 	return younger
 }
 
-func (s *Sockets) bequeath(number int, left *Handover) {
-	text, err := json.Marshal(left)
+// leaves carries what goes to another process of this relay, by the seat's way to leave or to tell it.
+func (s *Sockets) leaves(by func(number int, record []byte) error, number int, what any) {
+	text, err := json.Marshal(what)
 	if err == nil {
-		err = s.seat.Leave(number, text)
+		err = by(number, text)
 	}
 	s.said(err)
 }
@@ -339,7 +363,11 @@
 			}
 		case Bequeath:
 			number, left := s.younger, e.Left
-			s.work.do(func() { s.bequeath(number, left) })
+			s.work.do(func() { s.leaves(s.seat.Leave, number, left) })
+		case Confide:
+			if number, told := s.other, e.News; number > 0 {
+				s.work.do(func() { s.leaves(s.seat.Tell, number, told) })
+			}
 		case Pass:
 			client, server := e.Conn, e.Peer
 			s.passing.pending.Add(1)
@@ -348,6 +376,10 @@
 			s.parted = e.Passed
 		case Adopted:
 			s.adopted = e.Peer
+		case Entrust:
+			s.mates.Entrust(e.Conn, e.Key, e.At)
+		case Claim:
+			s.mates.Claim(e.Key)
 		case Quit:
 			close(s.quit)
 		}
@@ -519,6 +551,13 @@
 	for _, p := range parts {
 		size += len(p)
 	}
+	if c.early {
+		for _, p := range parts {
+			c.later = append(c.later, p...)
+		}
+		c.unsent.Add(int64(size))
+		return
+	}
 	if len(parts) == 1 || c.unsent.Load() > 0 {
 		for _, p := range parts {
 			s.writeOne(c, p)
@@ -580,12 +619,16 @@
 			delete(s.open, conn)
 			c.discard()
 			c.nb.Close()
-		} else { // against one that never takes the rest holding its descriptor for ever
-			c.nb.SetWriteDeadline(time.Now().Add(restWait))
+		} else if !c.early { // nbio can't before it polls
+			c.hurry()
 		}
 	}
 }
 
+// hurry gives the peer some time for the rest. Against one that never takes it holding its descriptor for
+// ever.
+func (c *socket) hurry() { c.nb.SetWriteDeadline(time.Now().Add(restWait)) }
+
 // discard drops what the peer has sent, up to a bound. Against a close with input unread: it resets the
 // connection, and a reset may overtake the last answer.
 func (c *socket) discard() {
--- a/internal/relay/sockets_test.go
+++ b/internal/relay/sockets_test.go
@@ -73,6 +73,34 @@
 	}
 }
 
+// Against a poller's set that keeps what this process has closed, as another still holds it, and tells its
+// end of whatever has the number next: seen as links ended without a word while a process was replaced.
+func TestAdoptedWaitsForTheElder(t *testing.T) {
+	s, _ := narrow(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	out, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	in, err := l.Accept()
+	require.NoError(t, err)
+	nb, err := nbio.NBConn(out)
+	require.NoError(t, err)
+	k := &socket{conn: 1, nb: nb, early: true}
+	nb.SetSession(k)
+	s.open[1] = k
+	s.write(1, [][]byte{[]byte("MO"), []byte("VE")})
+	s.end(1, End)
+	in.SetDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err = in.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing is written, nothing closed")
+	s.polls([2]*socket{k, {conn: 2}})
+	in.SetDeadline(time.Now().Add(5 * time.Second))
+	all, err := io.ReadAll(in)
+	require.NoError(t, err)
+	assert.Equal(t, "MOVE", string(all))
+}
+
 // Against a flood that is read on and on once its connection is ended, as its peer takes no last words.
 func TestFloodBehindTheEndIsCutOff(t *testing.T) {
 	s, connect := narrow(t)
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -288,6 +288,8 @@
 		case trying:
 			l.Limit = r.now // so that the module gives it up
 			r.tryOver(l, NoAnswer)
+		case entrusting:
+			r.entrusted(c.conn, false)
 		case placing:
 			l.Limit = r.now
 			r.table.Place(r.now, l)
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -101,17 +101,55 @@
 		r.note("younger process", "there", e.Younger)
 		r.younger = e.Younger
 		r.table.Balancer.Yield(e.Younger) // it has the budgets from here on
+		if e.Younger {
+			r.Subscribe()
+		}
 	}
 	if e.Elder != r.elder {
 		r.note("elder process", "there", e.Elder)
 		r.elder = e.Elder
 	}
 	r.share()
+	if !e.Elder && !e.Younger && len(r.dismissed) > 0 {
+		r.watch() // what another process was told holds until discovery tells this one
+	}
 	if e.Younger && e.Leave {
 		r.do(Effect{Do: Bequeath, Left: r.handover()})
 	}
 }
 
+// confided takes the list that another process of this relay was told, as far as that is stricter than this
+// one's: servers that are to get nothing new, or have restarted. Against a discovery that tells one of the
+// two late: to who drains a server both are one relay.
+func (r *Reducer) confided(n *News) {
+	if !r.younger && !r.elder {
+		return
+	}
+	told := map[string]Entry{}
+	for _, e := range n.Entries {
+		told[e.Name] = e
+	}
+	was := r.dismissed
+	r.dismissed = map[string]bool{}
+	var changed []Entry
+	for _, b := range r.order {
+		e, there := told[b.Name]
+		dismissed := !there || e.Status != "active"
+		if dismissed {
+			r.dismissed[b.Name] = true
+		}
+		if dismissed || was[b.Name] {
+			e = b.Entry
+		}
+		if e.Since > b.Since || dismissed != was[b.Name] {
+			changed = append(changed, e)
+		}
+	}
+	if len(changed) > 0 {
+		r.apply(&News{Index: r.index, Entries: changed})
+	}
+}
+
 // besides is what another process needs for itself.
 func (r *Reducer) besides() int { return besideFiles + r.reserve - spareFiles }
 
@@ -161,6 +199,7 @@
 	Waits               bool    // a line of the client's waits for its answer
 	Leaves              float64 // in so many milliseconds, as its backend goes; -1: it stays
 	Files, Links        int     // that the elder keeps to from now on
+	Frees               bool    // the elder says when it has let go of its own descriptors
 }
 
 // pass has the sockets pass the link on when they can.
@@ -188,7 +227,7 @@
 	p := &Passed{Version: handoverVersion, ID: l.id, Category: nameOf(r.categories, l.Category),
 		Party: nameOf(r.parties, l.Party), Key: l.Key, Group: l.Group, Backend: l.server.backend.Name,
 		Tail: l.server.in.Tail(), Waits: l.quiet.place > 0, Leaves: -1,
-		Files: perLink*(r.links+r.heads-1) + r.others + r.besides(), Links: r.links + r.heads - 1}
+		Files: perLink*(r.links+r.heads-1) + r.others + r.besides(), Links: r.links + r.heads - 1, Frees: true}
 	p.Load, p.Measured = l.Link.Link.Load()
 	if l.server.backend.condition != logic.Ready && l.leave.place > 0 {
 		p.Leaves = max(l.leave.at-r.now, 0)
--- a/internal/relay/succession_test.go
+++ b/internal/relay/succession_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -86,6 +87,50 @@
 	}
 }
 
+// An elder process without a watch asks for the list as the younger comes, and soon again where that fails:
+// the younger is told by its own watch, and this is one relay to who drains a server.
+func TestElderAsksAnew(t *testing.T) {
+	s := open(t, nil, 0, "b1=active")
+	s.play("fails", step{1, "failed 1", ""}, step{10, "beside younger", "watch 2 after 0; bequeath"},
+		step{11, "failed 2", ""}, step{261, "tick", "watch 3 after 0"},
+		step{262, "beside younger", "bequeath"})
+}
+
+// What one of two processes was told counts at the other where that is stricter, until discovery tells it
+// all to the one that is left.
+func TestToldByTheOtherProcess(t *testing.T) {
+	for _, other := range []string{"younger", "elder"} {
+		s := open(t, nil, 0, "b1=active", "b2=active", "b3=active", "b4=active")
+		conditions := func() (all string) {
+			for _, name := range []string{"b1", "b2", "b3", "b4"} {
+				b := s.backends[name]
+				all += fmt.Sprintf("%t@%.0f ", b.condition == logic.Ready, b.Since)
+			}
+			return all
+		}
+		s.at(1, "confided b1=leaving")
+		assert.Equal(t, "true@0 true@0 true@0 true@0 ", conditions(), "from nobody")
+		s.at(2, "beside "+other)
+		s.at(10, "news 1 4 whole b1=active b2=active b3=active b4=active")
+		require.NotNil(t, s.confides)
+		assert.Len(t, s.confides.Entries, 4)
+		s.at(20, "confided b1=leaving b3=active@15 b4=active")
+		want := "false@0 false@0 true@15 true@0 "
+		assert.Equal(t, want, conditions(), "b2 is not there any more, b3 has restarted")
+		s.at(30, "news 1 5 whole b1=active b2=active b3=active@15 b4=active")
+		assert.Equal(t, want, conditions(), "told late")
+		s.play("alone, it asks for all", step{40, "beside none", "watch 2 after 0"})
+		assert.Equal(t, want, conditions())
+		s.at(50, "news 2 5 whole b1=active b2=leaving b3=active@15 b4=active")
+		assert.Equal(t, "true@0 false@0 true@15 true@0 ", conditions(), "by its own watch")
+
+		s.at(60, "beside "+other)
+		s.at(61, "confided b1=leaving b2=leaving b3=active@15 b4=active")
+		s.at(62, "confided b1=active b2=leaving b3=active@15 b4=active")
+		assert.Equal(t, "true@0 false@0 true@15 true@0 ", conditions(), "taken back")
+	}
+}
+
 // To a younger process that is ready all clients are left at once; those taken before are served to their
 // end.
 func TestElderProcess(t *testing.T) {
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -7,8 +7,8 @@
 	"sync"
 )
 
-// Memory is a disk in memory with the faults of real ones: what was not synced is gone at a power loss, but for
-// a part of it, and writes and syncs can fail. Tests and the simulation use it.
+// Memory is a disk in memory with the faults of real ones: what was not synced is gone at a power loss, but
+// for a part of it, and writes and syncs can fail. Tests and the simulation use it.
 type Memory struct {
 	mutex  sync.Mutex
 	files  map[string]*memoryFile
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,7 +1,7 @@
 // Package store keeps records on a disk that is not to be trusted: each with kind, key, owner, boot, time and
-// checksum, in files that only grow, written in groups and synced once for each. It reads whatever it finds: a
-// torn tail is cut off, a damaged record is left out and counted, all others are kept. Nobody who places links
-// waits for it. The package knows no clock and starts nothing: Flush is called by whoever may wait.
+// checksum, in files that only grow, written in groups and synced once for each. It reads whatever it finds:
+// a torn tail is cut off, a damaged record is left out and counted, all others are kept. Nobody who places
+// links waits for it. The package knows no clock and starts nothing: Flush is called by whoever may wait.
 package store
 
 import (
@@ -21,11 +21,14 @@
 
 // The kinds. Their numbers are on disks: none is ever given another meaning.
 const (
-	Header  Kind = iota // of a file
-	Boot                // the number of the last start
-	Order               // of an operator
-	Knowing             // the list, what was learnt, who was told to come again
-	Mark                // of a link whose effect may have happened
+	Header   Kind = iota // of a file
+	Boot                 // the number of the last start
+	Order                // of an operator
+	Knowing              // the list, what was learnt, who was told to come again
+	Mark                 // of a link whose effect may have happened
+	Council              // all that a voter of the council keeps
+	Decision             // number of the highest that this relay has followed
+	Holding              // what this relay holds for another
 )
 
 // Record is one thing kept; the latest of a kind and key is what holds. One without a body takes it back.
@@ -312,8 +315,8 @@
 	return all
 }
 
-// Put has a record kept from the next Flush on; done, where it is given, is told once it is durable, or why it
-// is not. It never waits.
+// Put has a record kept from the next Flush on; done, where it is given, is told once it is durable, or why
+// it is not. It never waits.
 func (s *Store) Put(r Record, done func(error)) {
 	if err := s.put(r, done); err != nil && done != nil {
 		done(err)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -34,8 +34,8 @@
 	return all
 }
 
-// Power is lost at each call of the disk in turn, and each call fails in turn: what was promised is there, and
-// every key has a value that was put and not one from before the last promise.
+// Power is lost at each call of the disk in turn, and each call fails in turn: what was promised is there,
+// and every key has a value that was put and not one from before the last promise.
 func TestLossAtEveryWrite(t *testing.T) {
 	for _, c := range []struct {
 		name         string
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,7 +26,7 @@
 
 const ( // what the design leaves open
 	retryProbe = 300.0   // how soon a doubted server is asked again
-	reportLag  = 1500.0  // a report may be this old, so links placed since are added to it
+	reportLag  = 1500.0  // a report may be this old where nobody says, so links placed since are added to it
 	slowest    = 4000.0  // the design's bound of five seconds, less the answer's way
 	probeShare = 0.012   // what probes may cost a link, in points of the whole
 	drafted    = 5       // servers that a link is chosen among, where the whole fleet can't be kept in use
@@ -130,8 +130,9 @@
 func (b *Balancer) allow(now float64, l *Link) int {
 	w, mark := b.warmup, b.mark(l)
 	sum, cold, all, pick, least := 0.0, 0.0, float64(b.track.usable), -1, math.Inf(1)
+	aim := b.aim(l)
 	for _, s := range b.coldOnes(now) {
-		if b.condition[s] != Ready || !b.health.good(s) {
+		if b.condition[s] != Ready || !b.health.good(s) || !b.may(s, aim) {
 			continue
 		}
 		part := w.part(s, now)
@@ -151,7 +152,7 @@
 	w.asked = now - b.admission.Leaves(since, offered, due)
 	lot := b.turns.chance.Float64()
 	if !b.effects.yield && pick >= 0 && lot < due && (lot < cold/all || b.seen(pick, now)) {
-		l.spare = lot >= cold/all
+		l.spare, l.grant = lot >= cold/all, offered/due
 		return pick
 	}
 	return -1
@@ -160,7 +161,7 @@
 // seen tells whether a cold server's figure holds what all relays sent it, and is new as links ask as they
 // come.
 func (b *Balancer) seen(s int, now float64) bool {
-	return b.part < 1 && now >= b.warmup.since[s]+b.warmup.span+reportLag
+	return b.part < 1 && now >= b.warmup.since[s]+b.warmup.span+b.probing.lag
 }
 
 // figure is a report's load: x0, or a stand-in. One that is no number, or negative, is none.
@@ -313,7 +314,7 @@
 		// A young relay holds too few, so the highest is kept; but not of links that no figure holds yet, which
 		// make servers look larger. They count while they are new, as else they would find no room.
 		scale := b.shares.relays / sum * known / ready
-		b.guessed = max(0.995*b.guessed, max(own-fresh, 0)*scale)
+		b.guessed = max(0.99*b.guessed, max(own-fresh, 0)*scale)
 		bears = max(b.guessed, own*scale)
 	}
 	// The parties' shares tell for all relays what one with a handful of links can't guess from them.
@@ -353,12 +354,12 @@
 }
 
 func (b *Balancer) draft(now float64, l *Link) {
-	p, mark := b.probing, b.mark(l)
+	p, mark, aim := b.probing, b.mark(l), b.aim(l)
 	want := int(max(min(drafted, probeShare/max(p.fee, 1e-9)), 1))
 	l.drafted, b.ranks = l.drafted[:0], b.ranks[:0]
 	for s, id := range b.ids {
 		if b.condition[s] != Ready || s == l.server || b.warmup.part(s, now) < 1 || !b.sameScope(l, s) ||
-			(b.health.failed[s] > 0 && now < p.askedAt[s]+slowest) {
+			!b.may(s, aim) || (b.health.failed[s] > 0 && now < p.askedAt[s]+slowest) {
 			continue
 		}
 		d := draw(mark, id)
@@ -393,7 +394,16 @@
 		l = b.mean
 	}
 	others := b.shares.relays - 1
-	fresh := b.probing.fresh[s] * (1 + othersPart*others/(1+others/herd))
+	fresh := b.probing.fresh[s]
+	guess := othersPart * others / (1 + others/herd)
+	if b.probing.others >= 0 && b.warmup.part(s, now) >= 1 {
+		// They say themselves what they placed. Against a few links of this relay's that came to one server by
+		// chance counting for everybody's there. Never beyond the guess for all together, as a young relay's
+		// capacity is by its own links. Cold servers stay with the guess, which asks for more room.
+		fresh += min(othersPart*b.probing.others, guess*b.probing.placed) / max(float64(b.track.usable), 1)
+	} else {
+		fresh *= 1 + guess
+	}
 	// A cold server's figure is of what it can do now, so a link weighs more there.
 	return l + fresh/cmp.Or(b.capacity*b.warmup.part(s, now), math.Inf(1))
 }
@@ -409,10 +419,15 @@
 		}
 		l.cold = b.allow(now, l)
 	} else if l.cold < 0 && l.tries == 0 && b.admission.Again() {
+		if l.Hint <= 0 { // against those that came before anything was known counting for nothing now
+			b.guess(l)
+		}
 		l.cold = b.allow(now, l) // it waits for a cold server, as there are no others
 	}
 	if !b.effects.again(l, now) {
 		return b.end(l, now)
+	} else if wait := b.hushed - now; wait > 0 && now+2*wait < l.Limit {
+		return Answer{Verdict: Hold, Wait: wait}
 	}
 	s, until := -1, l.came+holdPart*(l.Limit-l.came)
 	if l.patient > 0 || b.effects.let(b.turns.chance) {
@@ -421,7 +436,10 @@
 		}
 		b.refresh(now)
 		full := false
-		if s, full = b.choose(l, now); full {
+		if s, full = b.choose(l, now); full && l.cold >= 0 && l.tries == 0 && b.admission.Again() {
+			b.warmup.asked -= l.grant
+			l.cold, l.lot = -1, b.turns.chance.Uint64()
+		} else if full {
 			until = now
 		}
 		l.patient = 0
@@ -461,13 +479,16 @@
 }
 
 func (b *Balancer) choose(l *Link, now float64) (int, bool) {
-	avoid := l.server
+	avoid, aim, near := l.server, b.aim(l), b.zone
 	open := func(s int) bool {
-		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) &&
+		return b.condition[s] == Ready && s != avoid && b.sameScope(l, s) && b.may(s, aim) &&
 			(s == l.cold && l.tries == 0 && !l.spare || b.warmup.part(s, now) >= 1)
 	}
 	bound := room - roomBlind*(1-b.part) + roomSpread*min(max(math.Log2(b.shares.worth(l)), -1), 1)
 	bounds := [...]float64{nearLoad + nearFee*b.crossing, max(calmLoad, b.mean), bound, bound}
+	if aim >= 0 { // how full a zone gets is decided in common
+		near, bounds[0] = aim, bound
+	}
 	if !b.probing.absolute {
 		bound = crowded * max(b.mean, nearZero)
 		bounds = [...]float64{bound, bound, bound, bound}
@@ -481,18 +502,18 @@
 		return l.cold, false
 	}
 	for i, limit := range bounds {
-		if i == 0 && b.crossing <= 0 {
+		if i == 0 && b.crossing <= 0 && aim < 0 {
 			continue // nothing is paid for crossing, so the own zone goes not before: the table need not be walked
 		} else if i == 3 {
 			avoid = -1
 		}
 		if s := b.turn(l, func(s int) bool {
-			return (i > 0 || (b.crossing > 0 && b.zones[s] == b.zone)) && fits(s, limit)
+			return (i > 0 || ((b.crossing > 0 || aim >= 0) && b.zones[s] == near)) && fits(s, limit)
 		}); s >= 0 {
 			return s, false
 		}
 	}
-	full := b.turns.next(open) >= 0
+	full := b.shut() || b.turns.next(open) >= 0 // nothing is worth waiting for then
 	if l.spare {
 		if l.spare = false; chosen() {
 			return l.cold, false
@@ -571,6 +592,7 @@
 	}
 	if !l.open {
 		b.effects.out--
+		b.tried(s, outcome == Unreachable || outcome == TimedOut || outcome == Errored || outcome == Broken)
 	}
 	if last || l.open || l.gone {
 		return Answer{}
@@ -597,6 +619,7 @@
 	}
 	l.open = true
 	b.effects.out--
+	b.tried(l.server, false)
 	b.stood(now, l)
 }
 
@@ -607,6 +630,7 @@
 		return
 	}
 	b.probing.sentAt[s] = math.NaN()
+	b.answered(s, ok)
 	if !ok {
 		b.doubt(s)
 		return
@@ -643,7 +667,7 @@
 		}
 		p.load[s], p.heardAt[s] = f, now
 	}
-	p.outdate(s, now-reportLag)
+	p.outdate(s, now-p.lag)
 	b.turns.stale = true
 }
 
--- a/logic/record.go
+++ b/logic/record.go
@@ -168,7 +168,7 @@
 		for _, x := range one.Placed {
 			p.since[i] = append(p.since[i], placed{x.At, x.Load})
 		}
-		p.outdate(i, p.heardAt[i]-reportLag)
+		p.outdate(i, p.heardAt[i]-p.lag)
 		b.touch(i)
 	}
 	b.turns.expire()
--- a/logic/recovery.go
+++ b/logic/recovery.go
@@ -22,15 +22,16 @@
 }
 
 // Learnt gives what this relay has learnt, for its next life and for others. With too few links for a word of
-// its own, or while the fleet recovers, it passes on what it was told, and later no more than a part above it:
-// against guesses of the first seconds, when servers' figures hold few of the links sent there, growing from
-// one life to the next where power is lost over and over.
+// its own, or while the fleet recovers, it passes on what it was told, and later no more than a part above
+// it: against guesses of the first seconds, when servers' figures hold few of the links sent there, growing
+// from one life to the next where power is lost over and over.
 func (b *Balancer) Learnt() Learnt {
 	s := b.shares
 	l := Learnt{Capacity: b.capacity, LoadMean: s.loadMean, Loads: append([]float64{}, s.loads...),
 		Weighed: append([]float64{}, s.weighed...)}
 	for i, c := range b.condition {
-		if c == Ready && b.health.good(i) && !math.IsNaN(b.probing.load[i]) && math.IsInf(b.warmup.since[i], -1) {
+		warm := b.warmup.since[i]+b.warmup.length <= b.turns.built
+		if c == Ready && warm && b.health.good(i) && !math.IsNaN(b.probing.load[i]) {
 			l.Own += max(b.linkLoads[i]-b.probing.fresh[i], 0)
 			l.Figures += b.probing.load[i]
 		}
@@ -124,9 +125,43 @@
 	b.touch(s)
 }
 
+// Hush has links wait until then, those that have the time: what this relay knows may be long out of date,
+// and what is new waits to be read. Against a process that was stopped sending on to servers that have left
+// since.
+func (b *Balancer) Hush(until float64) { b.hushed = until }
+
+// Shift takes that all starts that were told are to be read later by that much, as this relay's clock is off.
+// What it saw of restarts itself is by its own clock and stays.
+func (b *Balancer) Shift(by float64) {
+	for s, started := range b.started {
+		if started == 0 || b.supposed[s] {
+			continue
+		}
+		own := b.warmup.since[s]
+		b.started[s] = started + by
+		if !(own > started) { // else it was seen to have restarted since
+			own = math.Inf(-1)
+		}
+		b.chill(s, max(own, b.started[s]))
+		b.touch(s)
+	}
+}
+
+// Late takes how old a report may be, where somebody knows.
+func (b *Balancer) Late(most float64) { b.probing.lag = most }
+
+// Placed is the load that this relay has placed and figures may not hold yet.
+func (b *Balancer) Placed() float64 { return b.probing.placed }
+
+// Others takes what the other relays have placed so, by their own words; below 0: they don't say.
+func (b *Balancer) Others(load float64) { b.probing.others = load }
+
 // Told gives who was told to come again when, by key; Promised takes whom the last life told so.
 func (b *Balancer) Told(now float64) map[uint64]float64 { return b.admission.Told(now, mostEnded) }
 
+// Forgo has it forget whom it told so, by that key.
+func (b *Balancer) Forgo(key uint64) { b.admission.Forgo(key) }
+
 // Promised takes that.
 func (b *Balancer) Promised(now float64, told map[uint64]float64) {
 	if len(told) > 0 {
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -119,3 +119,59 @@
 	b.shares.known, b.capacity = 2*quotaFaith, 10*l.Capacity
 	assert.Equal(t, mostGrowth*4e6, b.Learnt().Capacity)
 }
+
+// What others placed, by their own words, in place of a guess from the few links of this relay's own, which
+// come to one server by chance; and reports that are known to be young. A cold server stays with the guess.
+func TestOthersAndLate(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		others float64 // load, below 0: not known
+		late   float64 // 0: nobody says
+		cold   float64 // when the server started
+		want   float64 // figured load of a server that two links of this relay's have just gone to
+	}{
+		{"a guess", -1, 0, 0, 0.2 + 0.02*(1+0.5*3/(1+3.0/64))},
+		{"none placed any", 0, 0, 0, 0.2 + 0.02},
+		{"as much as this one", 4e4 * 2, 0, 0, 0.2 + 0.02 + 0.5*0.02/4},
+		{"far more than can be: the guess, evenly", 1e12, 0, 0, 0.2 + 0.02 + 0.5*3/(1+3.0/64)*0.02/4},
+		{"cold: the guess, of the part that it bears", 0, 0, 2e5, 0.2 + 0.1*(1+0.5*3/(1+3.0/64))},
+		{"reports are young", -1, 250, 0, 0.2},
+	} {
+		b := young(4, 4, 0, 1)
+		b.Listed(1, 0, Ready, 0, c.cold, 1)
+		b.capacity = 4e6
+		b.Others(c.others)
+		if c.late > 0 {
+			b.Late(c.late)
+		}
+		now := 2e5
+		for range 2 {
+			b.sent(now, &Link{load: 4e4}, 0)
+		}
+		b.Reported(now+300, 1, []float64{0.2})
+		assert.InDelta(t, c.want, b.figured(0, now), 1e-6, c.name)
+		fresh := 0.0
+		for _, f := range b.probing.fresh {
+			fresh += f
+		}
+		assert.InDelta(t, fresh, b.Placed(), 1e-6, c.name)
+	}
+}
+
+// Clocks that are off: starts that were told move, what this relay saw of restarts itself stays.
+func TestShift(t *testing.T) {
+	const hour, now = 3.6e6, 1e12
+	b := young(4, 3, now-hour, 1) // told an hour ago, by this relay's clock
+	cold, _ := b.Warmth(now)
+	assert.Zero(t, cold)
+	b.Shift(hour) // which is an hour ahead: all have just started
+	cold, _ = b.Warmth(now)
+	assert.Equal(t, 3, cold)
+	b.Shift(-hour)
+	cold, _ = b.Warmth(now)
+	assert.Zero(t, cold)
+	b.chill(1, now) // its links broke, and it answers again
+	b.Shift(-hour)
+	cold, _ = b.Warmth(now)
+	assert.Equal(t, 1, cold)
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -87,6 +87,7 @@
 	lot     uint64  // its own mark, where no group or key draws it
 	cold    int     // the cold server that it may go to, or -1
 	spare   bool    // only where no warm one has room
+	grant   float64 // time of the budget of cold servers that its cold server took
 	drafted []int   // servers asked for it
 	patient float64 // clock time until which their answers are waited for, or 0
 }
@@ -233,6 +234,9 @@
 	// absolute loads are parts of a capacity, so that bounds on them mean something.
 	absolute bool
 	fresh    []float64
+	lag      float64 // that a report may be old
+	placed   float64 // the sum of fresh
+	others   float64 // load that the other relays placed and figures may not hold yet; below 0: not known
 
 	load    []float64 // NaN: no figure
 	sentAt  []float64 // of the probe that is out, or NaN
@@ -246,7 +250,7 @@
 
 // NewProbing takes whether probes may be sent, the fee for one a link, and the names of the report's fields.
 func NewProbing(allowed bool, fee float64, fields []string) *Probing {
-	p := &Probing{allowed: allowed, fee: fee, field: math.MaxInt}
+	p := &Probing{allowed: allowed, fee: fee, lag: reportLag, others: -1, field: math.MaxInt}
 	for rank, name := range [...]string{"x0", "cpu", "active", "rps", "waiting", "x1", "avg_ms"} {
 		if i := slices.Index(fields, name); i >= 0 {
 			p.field, p.absolute = i, rank < 2
@@ -372,7 +376,11 @@
 	ranks     []float64
 	track     track
 	admission *admit.Admission // nil: nothing is known from before the start
+	hushed    float64          // until which links wait, as news does
 	supposed  map[int]bool     // servers of a list that was kept, whose start nobody has told
+
+	directions []Direction // of a decision in common; none: there is none
+	seenZones  []ZoneLook
 }
 
 // New joins the parts. Zone is the relay's own; crossing is the fee for crossing zones; grouped,
@@ -465,6 +473,7 @@
 // forget drops the server's figures.
 func (b *Balancer) forget(s int) {
 	p := b.probing
+	p.placed -= p.fresh[s]
 	p.load[s], p.heardAt[s], p.since[s], p.fresh[s] = math.NaN(), math.Inf(-1), p.since[s][:0], 0
 }
 
@@ -496,15 +505,18 @@
 	b.book(l)
 	b.probing.since[s] = append(b.probing.since[s], placed{now, l.load})
 	b.probing.fresh[s] += l.load
+	b.probing.placed += l.load
 }
 
 // outdate drops the links placed before then, which the latest figure holds.
 func (p *Probing) outdate(s int, then float64) {
+	p.placed -= p.fresh[s]
 	p.fresh[s] = 0
 	p.since[s] = slices.DeleteFunc(p.since[s], func(x placed) bool { return x.at < then })
 	for _, x := range p.since[s] {
 		p.fresh[s] += x.load
 	}
+	p.placed += p.fresh[s]
 }
 
 // unbook also takes a link that is over out of what the next report may not hold yet.
@@ -512,6 +524,7 @@
 	p, s := b.probing, l.server
 	if i := slices.IndexFunc(p.since[s], func(x placed) bool { return x.at == l.sent }); i >= 0 {
 		p.fresh[s] -= p.since[s][i].load
+		p.placed -= p.since[s][i].load
 		p.since[s] = slices.Delete(p.since[s], i, i+1)
 	}
 	b.links[s]--
--- /dev/null
+++ b/logic/zones.go
@@ -0,0 +1,114 @@
+package logic
+
+import "math"
+
+// This file is the balancer's side of a decision in common on zones: what it has seen of each, and which
+// part of its links is meant for which. The paper's buckets (section IV-B) know servers of one place; the
+// departure is that each link draws a zone by the decision's parts first, and takes its turn among that
+// zone's servers as ever. It acts only while Direct holds parts. What is decided comes from outside; nothing
+// is decided here.
+
+// ZoneLook is what this relay has seen of a zone: tries and probes since its start, those without an answer
+// in time, and what its servers hold and bear now, in what one of them bears.
+type ZoneLook struct{ Tries, Failed, Probes, Silent, Load, Room float64 }
+
+// Direction is a zone that a part of the links is meant for. An open one also takes links meant for others
+// that find no room there.
+type Direction struct {
+	Zone int
+	Part float64
+	Open bool
+}
+
+// Direct has links meant for zones by those parts from now on; none: wherever there is room, as ever.
+func (b *Balancer) Direct(parts []Direction) { b.directions = parts }
+
+// shut tells whether no zone is to have anything: an operators' order, as no decision by itself goes so far.
+func (b *Balancer) shut() bool {
+	for _, d := range b.directions {
+		if d.Open || d.Part > 0 {
+			return false
+		}
+	}
+	return len(b.directions) > 0
+}
+
+// aim is the zone that a link is meant for, or -1. Groups and keys that are kept together draw together.
+func (b *Balancer) aim(l *Link) int {
+	if len(b.directions) == 0 {
+		return -1
+	}
+	all := 0.0 // the whole, but for what nobody has room for: that takes its chance with the rest
+	for _, d := range b.directions {
+		all += d.Part
+	}
+	lot := all * (1 - math.Exp(-draw(b.mark(l), 0)))
+	for _, d := range b.directions {
+		if lot -= d.Part; lot < 0 {
+			return d.Zone
+		}
+	}
+	return -1
+}
+
+// may tells whether a server may have a link that is meant for that zone. One whose zone nobody has decided
+// on may have any.
+func (b *Balancer) may(s, aim int) bool {
+	for _, d := range b.directions {
+		if d.Zone == b.zones[s] {
+			return d.Open || d.Zone == aim
+		}
+	}
+	return true
+}
+
+// tried and asked count how tries and probes end, by zone.
+func (b *Balancer) tried(s int, failed bool) {
+	if look := b.looks(b.zones[s]); look != nil {
+		if look.Tries++; failed {
+			look.Failed++
+		}
+	}
+}
+
+func (b *Balancer) answered(s int, ok bool) {
+	if look := b.looks(b.zones[s]); look != nil {
+		if look.Probes++; !ok {
+			look.Silent++
+		}
+	}
+}
+
+const mostZones = 256 // that are counted
+
+func (b *Balancer) looks(zone int) *ZoneLook {
+	if zone < 0 || zone >= mostZones {
+		return nil
+	}
+	for len(b.seenZones) <= zone {
+		b.seenZones = append(b.seenZones, ZoneLook{})
+	}
+	return &b.seenZones[zone]
+}
+
+// Zones gives what was seen of each zone, by its number, and what this relay's own links weigh together in
+// what one server bears.
+func (b *Balancer) Zones(now float64) (all []ZoneLook, demand float64) {
+	all = append(all, b.seenZones...)
+	for s, c := range b.condition {
+		if z := b.zones[s]; c == Ready && z >= 0 && z < mostZones {
+			for len(all) <= z {
+				all = append(all, ZoneLook{})
+			}
+			if b.health.good(s) {
+				all[z].Load += b.load(s, now)
+				all[z].Room += b.warmup.part(s, now)
+			}
+		}
+		demand += b.linkLoads[s]
+	}
+	if b.capacity > 0 {
+		return all, demand / b.capacity
+	}
+	return all, 0
+}
