--- a/internal/council/walk_test.go
+++ b/internal/council/walk_test.go
@@ -301,6 +301,11 @@
 		{"votes are not saved", append(asks[:1:1], step{'b', 0, 1}), 3, Faults{Unsaved: true, KeepsOld: true}, true},
 		{"a lease too long", append(leads[:3:3], step{'t', 1, 0}), 3, Faults{LongLease: 8}, true},
 	} {
+		if testing.Short() {
+			if c.depth--; c.found {
+				continue // it takes the whole depth
+			}
+		}
 		states, wrong := walk(t, disks, c.first, c.depth, c.faults)
 		t.Logf("%s: %d states, %v", c.name, states, wrong)
 		assert.Equal(t, c.found, len(wrong) > 0, "%s: %v", c.name, wrong)
--- a/internal/lab/sim/spoil_test.go
+++ b/internal/lab/sim/spoil_test.go
@@ -216,6 +216,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			s := New(parse(t, trouble), "module", nil)
 			s.Spoil = func(_ int, brain Brain) Brain {
 				broken := c.spoil()
