--- a/cmd/valeshift/fleet.go
+++ b/cmd/valeshift/fleet.go
@@ -70,11 +70,14 @@
 		fmt.Fprintln(to, "  ANOTHER PROCESS SERVES UNDER THIS RELAY'S NAME")
 	}
 	if h := s.Holdings; h != nil {
-		n := h.Counts
-		fmt.Fprintf(to, "  holds %d places and %d orders for others; enough relays for a promise %t\n", h.Held["places"],
-			h.Held["orders"], h.Able)
-		fmt.Fprintf(to, "  words held by others %d, not in time %d; places taken %d, used before %d, not got in time %d\n",
+		n := h.Counts["places"]
+		fmt.Fprintf(to, "  holds %d places, %d marks and %d orders for others; enough relays for a promise %t\n",
+			h.Held["places"], h.Held["marks"], h.Held["orders"], h.Able)
+		fmt.Fprintf(to, "  places held by others %d, not in time %d; taken %d, used before %d, not got in time %d\n",
 			n.Promised, n.Refused, n.Took, n.Again, n.Missed)
+		n = h.Counts["marks"]
+		fmt.Fprintf(to, "  tries marked at others %d, not in time %d; clients' further tries that met a mark %d\n",
+			n.Promised, n.Refused, n.Took)
 		fmt.Fprintf(to, "  the latest words took %.1f ms to be held in the middle, %.1f ms at p99\n", h.P50, h.P99)
 	}
 	for _, line := range p.Took {
--- a/internal/fleet/holdings.go
+++ b/internal/fleet/holdings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 
@@ -13,22 +14,25 @@
 	"valeshift/internal/store"
 )
 
-// This file is a relay's side of what is held for others: places of clients that were told to come again. The
-// relay's reducer asks (Entrust, Claim); who holds what is holdings' business.
+// This file is a relay's side of what is held for others: places of clients that were told to come again, and
+// marks of setup tries that may run. The relay's reducer asks (Entrust, Claim, Release); who holds what is
+// holdings' business.
 
 const (
 	mostHoldings = 1 << 18 // of other relays' records, on this disk
 	holdWithin   = 200.0   // ms, after which a promise is given up by its holders as well
 	viewEvery    = 200.0
+	markBack     = 2.0   // of the time that a link waits for word of a mark, for that to come to it
 	holdingFrame = 'h'   // first byte of such a datagram, which no peers' one has
 	placeLate    = 700.0 // after the time told, as admission counts it
 
-	orderFor    = 3e6 // that others hold an order, unless it is held anew
-	orderWithin = 800.0
-	orderEvery  = 2000.0
-	orderReads  = 10 // for those who hold it may start later
-	orderTells  = 3
-	latest      = 1024
+	orderFor     = 3e6 // that others hold an order, unless it is held anew
+	orderWithin  = 800.0
+	orderEvery   = 2000.0
+	orderReadFor = 1000.0
+	orderReads   = 10 // for those who hold it may start later
+	orderTells   = 3
+	latest       = 1024
 )
 
 // entrusted is a client's word on its way to others.
@@ -37,6 +41,12 @@
 	at   float64
 }
 
+// marked is until when others hold a mark at the most, by this relay's time.
+type marked struct {
+	conn uint64
+	end  float64
+}
+
 type held struct {
 	core    *holdings.Core
 	key     []byte
@@ -46,8 +56,10 @@
 	entrust map[uint64]entrusted // by token
 	took    [latest]float64      // ms, that the latest words took to be held, in turn
 	words   int
-	claims  map[uint64]uint64 // key by token
-	older   bool              // this disk is not the one that the relay has spoken by
+	claims  map[uint64]relay.Effect // by token
+	marks   map[uint64]uint64       // tokens by the connection of the setup try
+	marked  []marked                // those, as they came
+	older   bool                    // this disk is not the one that the relay has spoken by
 
 	orders  map[uint64]bool // tokens of those that are being held, or read
 	reads   int             // times that it was read so far
@@ -57,12 +69,14 @@
 	tells   int
 }
 
-// Holds has the relay's words held by so many machines, this one among them where the lot falls on it.
-func (c *Core) Holds(name string, life uint64, copies int, key []byte, chance *rand.Rand) []Act {
+// Holds has the relay's words held by so many machines, this one among them where the lot falls on it; marks
+// of setup tries for so long beyond their links' hard limits, 0: none are kept.
+func (c *Core) Holds(name string, life uint64, copies int, remember float64, key []byte, chance *rand.Rand) []Act {
 	c.held = &held{core: holdings.New(name, life, copies, mostHoldings, chance), key: key, life: life,
-		entrust: map[uint64]entrusted{}, claims: map[uint64]uint64{}, orders: map[uint64]bool{}}
+		entrust: map[uint64]entrusted{}, claims: map[uint64]relay.Effect{}, marks: map[uint64]uint64{},
+		orders: map[uint64]bool{}}
 	c.held.core.Mute(true)
-	return []Act{{Tell: &relay.Event{Kind: relay.Holds}}}
+	return []Act{{Tell: &relay.Event{Kind: relay.Holds, At: remember}}}
 }
 
 // fleetTime is the time that all relays mean, of this relay's.
@@ -93,13 +107,13 @@
 	h.nextAt = now + orderEvery
 	if h.reads < orderReads && c.order == 0 && len(members) > 1 {
 		h.reads++
-		token, acts := h.core.Read(c.fleetTime(now), holdings.Order, c.peers.Own().Name)
+		token, acts := h.core.Read(c.fleetTime(now), holdings.Order, c.peers.Own().Name, orderReadFor)
 		h.orders[token] = true
 		return c.holds(now, acts)
 	}
 	if h.former.ID != 0 && h.tells > 0 {
 		h.tells--
-		return c.holds(now, h.core.Release(h.former))
+		return c.holds(now, h.core.Release(c.fleetTime(now), h.former))
 	}
 	there := func(o holdings.Holder) bool {
 		return slices.ContainsFunc(members, func(m holdings.Member) bool { return m.Name == o.Name && !m.Leaves })
@@ -114,25 +128,37 @@
 
 func placeKey(key uint64) string { return fmt.Sprintf("%016x", key) }
 
-// Entrust has others hold that the client of that connection and key is told to come at that time.
-func (c *Core) Entrust(now float64, conn, key uint64, at float64) []Act {
+// Trust does what the reducer asks for.
+func (c *Core) Trust(now float64, f relay.Effect) []Act {
 	if c.held == nil {
 		return nil
 	}
-	at += c.off
-	token, acts := c.held.core.Put(c.fleetTime(now), holdings.Record{Kind: holdings.Place, Key: placeKey(key), At: at,
-		End: at + placeLate}, holdWithin)
-	c.held.entrust[token] = entrusted{conn, now}
-	return c.holds(now, acts)
-}
-
-// Claim seeks what is held for a client of that key, and uses it up.
-func (c *Core) Claim(now float64, key uint64) []Act {
-	if c.held == nil {
-		return nil
+	h, at, key := c.held, c.fleetTime(now), placeKey(f.Key)
+	switch {
+	case f.Do == relay.Release:
+		token := h.marks[f.Conn]
+		delete(h.marks, f.Conn)
+		return c.holds(now, h.core.Over(at, token))
+	case f.Do == relay.Claim && f.Word == relay.Ran:
+		token, acts := h.core.Read(at, holdings.Mark, key, max(f.At-now-markBack, 1))
+		h.claims[token] = f
+		return c.holds(now, acts)
+	case f.Do == relay.Claim:
+		token, acts := h.core.Take(at, holdings.Place, key)
+		h.claims[token] = f
+		return c.holds(now, acts)
+	}
+	r := holdings.Record{Kind: holdings.Place, Key: key, At: f.At + c.off, End: f.At + c.off + placeLate}
+	if f.Word == relay.Ran {
+		r = holdings.Record{Kind: holdings.Mark, Key: key, Version: uint64(max(at, 0)), At: at, End: f.At + c.off,
+			Body: []byte(f.Text)}
+	}
+	token, acts := h.core.Put(at, r, holdWithin)
+	h.entrust[token] = entrusted{f.Conn, now}
+	if f.Word == relay.Ran {
+		h.marks[f.Conn] = token
+		h.marked = append(h.marked, marked{f.Conn, f.At})
 	}
-	token, acts := c.held.core.Take(c.fleetTime(now), holdings.Place, placeKey(key))
-	c.held.claims[token] = key
 	return c.holds(now, acts)
 }
 
@@ -178,8 +204,10 @@
 	h := c.held
 	if w, there := h.entrust[o.Token]; there {
 		delete(h.entrust, o.Token)
-		h.took[h.words%latest] = now - w.at
-		h.words++
+		if o.OK {
+			h.took[h.words%latest] = now - w.at
+			h.words++
+		}
 		return []Act{{Tell: &relay.Event{Kind: relay.Entrusted, Conn: w.conn, Off: !o.OK}}}
 	}
 	if h.orders[o.Token] {
@@ -202,12 +230,13 @@
 		}
 		return acts
 	}
-	key, there := h.claims[o.Token]
+	f, there := h.claims[o.Token]
 	delete(h.claims, o.Token)
-	if !there || !o.OK {
+	if !there || (!o.OK && f.Word == relay.Place) {
 		return nil
 	}
-	return []Act{{Tell: &relay.Event{Kind: relay.Claimed, Key: key, At: o.Record.At - c.off}}}
+	return []Act{{Tell: &relay.Event{Kind: relay.Claimed, Word: f.Word, Conn: f.Conn, Key: f.Key, Off: !o.OK,
+		At: o.Record.At - c.off, Text: string(o.Record.Body)}}}
 }
 
 // holdsOn goes on. Nothing is held or said of while it is not known that this disk is the latest that the
@@ -219,6 +248,10 @@
 	}
 	if now >= h.viewAt {
 		h.viewAt = now + viewEvery
+		for len(h.marked) > 0 && h.marked[0].end < now {
+			delete(h.marks, h.marked[0].conn)
+			h.marked = h.marked[1:]
+		}
 		own := c.peers.Own()
 		all := []holdings.Member{{Name: own.Name, Zone: own.Zone, Address: own.Address, Life: h.life,
 			Leaves: c.lame}}
@@ -242,6 +275,17 @@
 	return append(acts, c.holds(now, h.core.Tick(c.fleetTime(now)))...)
 }
 
+// HeldDue is after how long HeldOn is due, ms; +Inf: never.
+func (c *Core) HeldDue(now float64) float64 {
+	if c.held == nil {
+		return math.Inf(1)
+	}
+	return max(c.held.core.Due()-c.fleetTime(now), 0)
+}
+
+// HeldOn goes on with what others were asked for, between two ticks of the whole.
+func (c *Core) HeldOn(now float64) []Act { return c.holds(now, c.held.core.Tick(c.fleetTime(now))) }
+
 // holdsDisk takes what the disk holds for others, unless others know a later start of this relay than the
 // disk does.
 func (c *Core) holdsDisk(now float64, s *store.Store, lastBoot uint64) {
@@ -257,9 +301,9 @@
 // HoldingsStatus is what operators are told.
 type HoldingsStatus struct {
 	Held   map[string]int
-	Able   bool // there are relays enough for a promise
-	Counts holdings.Counts
-	P50    float64 // ms, that the latest words took until others held them; 0: there were none
+	Able   bool                       // there are relays enough for a promise
+	Counts map[string]holdings.Counts // by kind
+	P50    float64                    // ms, that the latest words took until others held them; 0: there were none
 	P99    float64
 }
 
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	mathrand "math/rand"
 	"net"
 	"os"
@@ -40,7 +41,8 @@
 	Seeds                         []string
 	Only                          bool // others are reached by the seeds' addresses alone
 	Voters                        []string
-	Copies                        int // of what this relay gives its word for; 0: none but its own
+	Copies                        int     // of what this relay gives its word for; 0: none but its own
+	Remember                      float64 // ms, beyond a link's hard limit, that marks of its setup tries are held
 }
 
 // Run is one relay's side of the fleet, on sockets and a disk.
@@ -65,8 +67,10 @@
 	udp   *net.UDPConn
 	tcp   net.Listener
 
-	wants chan want // of the relay, that holdings are asked for
-	waits sync.Map  // chan bool by token: who waits for an order to be held
+	wants chan relay.Effect // what the relay asks of holdings
+	poked chan struct{}     // holdings' time is nearer than it was
+	dueAt float64           // under mutex: when they are looked at next
+	waits sync.Map          // chan bool by token: who waits for an order to be held
 
 	disk  sync.Mutex // over store
 	store *store.Store
@@ -142,8 +146,9 @@
 	}
 	tell(relay.Event{Kind: relay.Restarted})
 	if r.peers.Copies > 0 {
-		r.wants = make(chan want, mostWants)
-		for _, a := range r.core.Holds(r.name, own.Life, r.peers.Copies, r.key, chance) {
+		r.wants = make(chan relay.Effect, mostWants)
+		r.poked, r.dueAt = make(chan struct{}, 1), math.Inf(1)
+		for _, a := range r.core.Holds(r.name, own.Life, r.peers.Copies, r.peers.Remember, r.key, chance) {
 			tell(*a.Tell)
 		}
 		r.goes(r.holds)
@@ -178,6 +183,15 @@
 func (r *Run) with(do func(c *Core) []Act) {
 	r.mutex.Lock()
 	acts := do(r.core)
+	if r.wants != nil {
+		if due := r.now() + r.core.HeldDue(r.now()); due < r.dueAt {
+			r.dueAt = due
+			select {
+			case r.poked <- struct{}{}:
+			default:
+			}
+		}
+	}
 	r.mutex.Unlock()
 	for _, a := range acts {
 		switch {
@@ -453,38 +467,36 @@
 	}
 }
 
-// want is something that the relay wants held, or (conn 0) sought.
-type want struct {
-	conn, key uint64
-	at        float64
-}
-
-// Entrust has others hold what a client is told. It is called under the relay's lock and waits for nothing: where too
-// much waits already, the client is told alone.
-func (r *Run) Entrust(conn, key uint64, at float64) { r.want(want{conn, key, at}) }
-
-// Claim seeks what others hold for a client of that key.
-func (r *Run) Claim(key uint64) { r.want(want{key: key}) }
-
-func (r *Run) want(w want) {
+// Trust has others hold something, or seeks it. It is called under the relay's lock and waits for nothing:
+// where too much waits already, it is not done, and the relay goes on alone.
+func (r *Run) Trust(f relay.Effect) {
 	select {
-	case r.wants <- w:
+	case r.wants <- f:
 	default:
 	}
 }
 
+// holds does what the relay asks for, and has holdings go on when they are due: ticks of the whole are too far
+// apart for what is to be held in some milliseconds.
 func (r *Run) holds() {
+	due := time.NewTimer(time.Hour)
+	defer due.Stop()
 	for {
 		select {
 		case <-r.ended:
 			return
-		case w := <-r.wants:
-			r.with(func(c *Core) []Act {
-				if w.conn == 0 {
-					return c.Claim(r.now(), w.key)
-				}
-				return c.Entrust(r.now(), w.conn, w.key, w.at)
-			})
+		case f := <-r.wants:
+			r.with(func(c *Core) []Act { return c.Trust(r.now(), f) })
+		case <-due.C:
+			r.mutex.Lock()
+			r.dueAt = math.Inf(1)
+			r.mutex.Unlock()
+			r.with(func(c *Core) []Act { return c.HeldOn(r.now()) })
+		case <-r.poked:
+			r.mutex.Lock()
+			wait := r.dueAt - r.now()
+			r.mutex.Unlock()
+			due.Reset(time.Duration(min(max(wait, 0), 1e6) * float64(time.Millisecond)))
 		}
 	}
 }
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -82,6 +82,8 @@
 	Told(now float64) map[uint64]float64
 	Promised(now float64, told map[uint64]float64)
 	Forgo(key uint64)
+	// Ran takes, before the link is placed, that an earlier one of its client's may have run there and then.
+	Ran(l *logic.Link, id uint32, at float64)
 	Inherit(now float64, r *logic.Record) error
 }
 
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -23,13 +23,19 @@
 const (
 	Place    Kind = iota + 1 // of a client that was told to come again; used once, by its key
 	Order                    // an operators' one, by the relay it was given; the highest version holds
+	Mark                     // of a setup try that may run, by its client's key; until its owner knows better
 	lastKind                 // none
 )
 
 // once tells whether a record of that kind is used up by whoever takes it.
 func (k Kind) once() bool { return k == Place }
 
-func (k Kind) String() string { return [...]string{"", "places", "orders"}[k] }
+// latest tells whether the highest version of a key is all that counts of a kind.
+func (k Kind) latest() bool { return k == Order }
+
+var kindNames = [lastKind]string{"", "places", "orders", "marks"}
+
+func (k Kind) String() string { return kindNames[k] }
 
 // Holder is a relay in one of its lives. What was sent to it for another life is not taken in.
 type Holder struct {
@@ -69,7 +75,8 @@
 	jumps       = 5000.0 // between two ticks: the clock was set, or the process stopped
 	tellTimes   = 3      // that finders are told, once members have changed
 	tellEvery   = 300.0
-	tellMost    = 100 // records at once: a pace that gives way to all else
+	tellMost    = 100   // records at once: a pace that gives way to all else
+	releaseAt   = 150.0 // after the first time, that it is said again that a record is over
 	ballotTries = 6
 	used        = "it is used"
 	never       = "it was not promised"
@@ -118,13 +125,21 @@
 	Why    string
 }
 
-// Counts are what operators are told.
+// Counts are what operators are told of a kind.
 type Counts struct {
 	Held, Full                            uint64 // for others: taken in; refused for want of room
 	Promised, Refused                     uint64 // of what this relay wanted held
 	Sought, Took, Again, Missed, Accepted uint64 // Again: found used; Missed: found, and not got in time
 }
 
+// Add adds others' counts.
+func (c *Counts) Add(o Counts) {
+	c.Held, c.Full = c.Held+o.Held, c.Full+o.Full
+	c.Promised, c.Refused = c.Promised+o.Promised, c.Refused+o.Refused
+	c.Sought, c.Took, c.Again = c.Sought+o.Sought, c.Took+o.Took, c.Again+o.Again
+	c.Missed, c.Accepted = c.Missed+o.Missed, c.Accepted+o.Accepted
+}
+
 // Faults are wrong on purpose, for tests of the checks.
 type Faults struct {
 	Early   bool // says that it holds something before it is saved
@@ -149,12 +164,21 @@
 	walkAt  float64
 	swept   int64
 	ticked  float64
+	due     float64 // when Tick has something to send again or give up, at the soonest
 	out     map[uint64]*errand
+	mine    map[uint64]Record // marks of this relay's that it may take back, by token
+	over    []release
 	mute    bool
-	Counts  Counts
+	counts  [lastKind]Counts
 	faults  Faults
 }
 
+// release is said again, as nobody answers to it.
+type release struct {
+	at     float64
+	record Record
+}
+
 // errand is something that others are asked for.
 type errand struct {
 	token  uint64
@@ -176,7 +200,8 @@
 	return &Core{name: name, life: life, copies: copies, most: most, chance: chance,
 		records: map[uint64]*holding{},
 		byKey:   map[string][]uint64{}, ends: map[int64][]uint64{}, hints: map[string]Record{},
-		out: map[uint64]*errand{}}
+		out: map[uint64]*errand{}, mine: map[uint64]Record{},
+		due: math.Inf(1)}
 }
 
 func keyOf(k Kind, key string) string { return string(rune(k)) + key }
@@ -357,20 +382,39 @@
 		why = "too much is under way"
 	}
 	if why != "" {
-		c.Counts.Refused++
+		c.counts[r.Kind].Refused++
 		return token, []Act{{Done: &Outcome{Token: token, Record: r, Why: why}}}
 	}
+	if r.Kind == Mark {
+		c.mine[token] = r
+	}
 	e := &errand{token: token, step: put, record: r, until: now + within, asked: holders}
 	return token, c.begin(now, e)
 }
 
-// Release tells those who hold a record of this relay's to forget it, as it is held anew by others.
-func (c *Core) Release(r Record) (acts []Act) {
+// Over tells those who hold the mark that was put by that token that it holds no more, twice, and gives up
+// having it held where that is still under way.
+func (c *Core) Over(now float64, token uint64) []Act {
+	r, there := c.mine[token]
+	if !there {
+		return nil
+	}
+	if len(c.over) < mostOut {
+		c.over = append(c.over, release{now + releaseAt, r})
+		c.due = min(c.due, c.over[0].at)
+	}
+	delete(c.out, token)
+	delete(c.mine, token)
+	return c.Release(now, r)
+}
+
+// Release tells those who hold a record of this relay's to forget it, as it is over or held anew by others.
+func (c *Core) Release(now float64, r Record) (acts []Act) {
 	m := message{What: dropped, From: c.name, Life: c.life, Records: []Record{r}}
 	for _, to := range c.members {
 		switch held := slices.ContainsFunc(r.Holders, func(h Holder) bool { return h.Name == to.Name }); {
 		case held && to.Name == c.name:
-			acts = append(acts, c.asked(0, "", m)...)
+			acts = append(acts, c.asked(now, "", m)...)
 		case held:
 			acts = append(acts, Act{To: to.Address, Data: m.text()})
 		}
@@ -380,18 +424,18 @@
 
 // Take has this relay seek a record by its key, and use it, if nobody has.
 func (c *Core) Take(now float64, kind Kind, key string) (token uint64, acts []Act) {
-	c.Counts.Sought++
-	return c.seek(now, kind, key)
+	return c.seek(now, kind, key, seekFor)
 }
 
-// Read seeks the latest version of a record that is not used up by it.
-func (c *Core) Read(now float64, kind Kind, key string) (token uint64, acts []Act) {
-	return c.seek(now, kind, key)
+// Read seeks the latest version of a record that is not used up by it, for so long.
+func (c *Core) Read(now float64, kind Kind, key string, within float64) (token uint64, acts []Act) {
+	return c.seek(now, kind, key, within)
 }
 
-func (c *Core) seek(now float64, kind Kind, key string) (token uint64, acts []Act) {
+func (c *Core) seek(now float64, kind Kind, key string, within float64) (token uint64, acts []Act) {
+	c.counts[kind].Sought++
 	token = c.chance.Uint64() | 1
-	e := &errand{token: token, step: seek, record: Record{Kind: kind, Key: key}, until: now + seekFor,
+	e := &errand{token: token, step: seek, record: Record{Kind: kind, Key: key}, until: now + within,
 		asked: c.rank(key, c.copies+moreAsked, true)}
 	if len(c.out) >= mostOut || len(e.asked) == 0 || key == "" || len(key) > mostKey {
 		return token, []Act{{Done: &Outcome{Token: token, Record: e.record, Why: "nobody can be asked"}}}
@@ -409,6 +453,7 @@
 func (c *Core) sends(now float64, e *errand) (acts []Act) {
 	e.next = now + e.wait
 	e.wait = min(2*e.wait, mostAgain)
+	c.due = min(c.due, e.next, e.until)
 	m := message{What: e.step, Token: e.token, From: c.name, Life: c.life, Records: []Record{e.record}}
 	if e.step == bind || e.step == accept {
 		m.Ballot, m.By = ballot{e.round, e.token}, e.by
@@ -464,6 +509,12 @@
 				back.Records = append(back.Records, h.Record)
 			}
 		}
+		for _, id := range c.byKey[keyOf(r.Kind, r.Key)] {
+			if h := c.records[id]; r.Kind == Mark && !h.open() && len(back.Records) < mostRecords {
+				// Without holders it says that the mark is over: one who has not heard so may say that it stands.
+				back.Records = append(back.Records, Record{Kind: Mark, Key: r.Key, ID: id})
+			}
+		}
 		if hint, there := c.hints[keyOf(r.Kind, r.Key)]; there && hint.End > now && len(back.Records) == 0 {
 			back.Records = append(back.Records, hint)
 		}
@@ -476,8 +527,14 @@
 		}
 		return nil
 	case dropped:
-		if h := c.records[r.ID]; h != nil && h.Owner == m.From {
-			if h.Kind.once() {
+		h := c.records[r.ID]
+		if h == nil && r.Kind == Mark && r.Owner == m.From && r.right(now) && r.End > now && len(c.records) < c.most {
+			// Against what has it held coming later, and nobody saying again that it is over.
+			h = &holding{Record: r}
+			c.add(h)
+		}
+		if h != nil && h.Owner == m.From {
+			if h.Kind.once() || h.Kind == Mark {
 				return c.shut(h)
 			}
 			c.drop(h.ID)
@@ -498,7 +555,7 @@
 		back.What, back.Taken, back.By = bound, h.Taken, h.By
 	} else {
 		h.Taken, h.By, back.What = m.Ballot, m.By, accepted
-		c.Counts.Accepted++
+		c.counts[h.Kind].Accepted++
 	}
 	save := c.saves(h)
 	if c.faults.Forgets && m.What == accept {
@@ -522,7 +579,7 @@
 		return c.answer(now, from, back, c.saves(h)) // the first may not be durable yet
 	}
 	if back.What = refuse; len(c.records) >= c.most {
-		c.Counts.Full++
+		c.counts[r.Kind].Full++
 		return c.answer(now, from, back, nil)
 	}
 	if c.leaves() || !r.right(now) || r.End <= now || !slices.Contains(r.Holders, Holder{c.name, c.life}) {
@@ -531,7 +588,7 @@
 	back.What = held
 	h := &holding{Record: r}
 	var acts []Act
-	if !r.Kind.once() {
+	if r.Kind.latest() {
 		for _, id := range slices.Clone(c.byKey[keyOf(r.Kind, r.Key)]) {
 			if c.records[id].Version <= r.Version {
 				c.drop(id)
@@ -540,7 +597,7 @@
 		}
 	}
 	c.add(h)
-	c.Counts.Held++
+	c.counts[r.Kind].Held++
 	return append(c.answer(now, from, back, c.saves(h)), acts...) // the older one goes once the newer is there
 }
 
@@ -645,18 +702,34 @@
 	return nil
 }
 
-// picks goes on with what was found. A record that is used once is taken as soon as anybody holds it; one
-// that holds by its version is read at a majority of those who may have it.
-func (c *Core) picks(now float64, e *errand) []Act {
-	var best *Record
+// best is the highest version that was found, but for marks of which somebody knows that they are over.
+func (e *errand) best(now float64) (best *Record) {
+	over := map[uint64]bool{}
+	for _, m := range e.said {
+		for _, r := range m.Records {
+			if r.Kind == Mark && len(r.Holders) == 0 {
+				over[r.ID] = true
+			}
+		}
+	}
 	for _, m := range e.said {
 		for i := range m.Records {
-			if r := &m.Records[i]; r.Kind == e.record.Kind && r.Key == e.record.Key && r.right(now+mostEnd) &&
-				(best == nil || r.Version > best.Version || (r.Version == best.Version && r.ID < best.ID)) {
+			r := &m.Records[i]
+			if r.Kind != e.record.Kind || r.Key != e.record.Key || !r.right(now+mostEnd) || over[r.ID] {
+				continue
+			}
+			if best == nil || r.Version > best.Version || (r.Version == best.Version && r.ID < best.ID) {
 				best = r
 			}
 		}
 	}
+	return best
+}
+
+// picks goes on with what was found. A record that is used once is taken as soon as anybody holds it; one
+// that holds by its version is read at a majority of those who may have it.
+func (c *Core) picks(now float64, e *errand) []Act {
+	best := e.best(now)
 	all := len(e.said) == len(e.asked)
 	switch {
 	case best == nil && !all:
@@ -701,6 +774,7 @@
 	// By chance after a while: against two that outbid each other for ever.
 	e.said, e.wait = map[string]message{}, againEvery
 	e.next = now + againEvery*(1+float64(e.tries)*c.chance.Float64())
+	c.due = min(c.due, e.next)
 	return nil
 }
 
@@ -720,21 +794,24 @@
 
 func (c *Core) done(e *errand, ok bool, why string) []Act {
 	delete(c.out, e.token)
-	switch {
+	switch counts := &c.counts[e.record.Kind]; {
 	case e.step == put && ok:
-		c.Counts.Promised++
+		counts.Promised++
 	case e.step == put:
-		c.Counts.Refused++
+		counts.Refused++
 	case ok:
-		c.Counts.Took++
+		counts.Took++
 	case e.step != seek && why == used:
-		c.Counts.Again++
+		counts.Again++
 	case e.step != seek && why != never:
-		c.Counts.Missed++
+		counts.Missed++
 	}
 	return []Act{{Done: &Outcome{Token: e.token, OK: ok, Record: e.record, Why: why}}}
 }
 
+// Due is when Tick is, but for what may wait for a while; +Inf: never.
+func (c *Core) Due() float64 { return c.due }
+
 // Tick sends again what got no answer, gives up what is late, and forgets what is over.
 func (c *Core) Tick(now float64) (acts []Act) {
 	if by := now - c.ticked; c.ticked > 0 && math.Abs(by) > jumps {
@@ -743,23 +820,36 @@
 			e.until, e.next = e.until+by, e.next+by
 		}
 		c.walkAt += by
+		for i := range c.over {
+			c.over[i].at += by
+		}
 	}
 	c.ticked = now
+	for len(c.over) > 0 && now >= c.over[0].at {
+		acts = append(acts, c.Release(now, c.over[0].record)...)
+		c.over = c.over[1:]
+	}
 	tokens := make([]uint64, 0, len(c.out))
 	for token := range c.out {
 		tokens = append(tokens, token)
 	}
 	slices.Sort(tokens) // in one order, so that a simulation repeats
+	c.due = math.Inf(1)
 	for _, token := range tokens {
 		e := c.out[token]
 		switch {
 		case e == nil:
 		case now >= e.until:
-			acts = append(acts, c.late(e)...)
+			acts = append(acts, c.late(now, e)...)
 		case now >= e.next:
 			acts = append(acts, c.sends(now, e)...)
+		default:
+			c.due = min(c.due, e.next, e.until)
 		}
 	}
+	if len(c.over) > 0 {
+		c.due = min(c.due, c.over[0].at)
+	}
 	second := int64(now / 1000)
 	if c.swept == 0 || c.swept > second {
 		c.swept = second - 1
@@ -772,6 +862,11 @@
 			}
 		}
 		delete(c.ends, c.swept)
+		for token, r := range c.mine {
+			if r.End < now {
+				delete(c.mine, token)
+			}
+		}
 		for key, r := range c.hints {
 			if r.End < now {
 				delete(c.hints, key)
@@ -781,8 +876,12 @@
 	return append(acts, c.points(now)...)
 }
 
-// fails gives a promise up. Its holders are told to forget it: nobody was told of it.
+// fails gives a promise up. Its holders are told to forget it: nobody was told of it. A mark is true without
+// a promise, and stays where it is.
 func (c *Core) fails(e *errand, why string) (acts []Act) {
+	if e.record.Kind == Mark {
+		return c.done(e, false, why)
+	}
 	text := (&message{What: dropped, Token: e.token, From: c.name, Life: c.life,
 		Records: []Record{e.record}}).text()
 	for _, m := range e.asked {
@@ -797,15 +896,10 @@
 }
 
 // late gives up.
-func (c *Core) late(e *errand) (acts []Act) {
+func (c *Core) late(now float64, e *errand) (acts []Act) {
 	if e.step == seek && !e.record.Kind.once() {
-		for _, m := range e.said {
-			for _, r := range m.Records {
-				if r.Kind == e.record.Kind && r.Key == e.record.Key &&
-					(e.record.ID == 0 || r.Version > e.record.Version) {
-					e.record = r
-				}
-			}
+		if best := e.best(now); best != nil {
+			e.record = *best
 		}
 		return c.done(e, e.record.ID != 0, "not all have answered")
 	}
@@ -815,11 +909,14 @@
 	return c.done(e, false, "not in time")
 }
 
-// Status counts what is held now, by kind.
-func (c *Core) Status() (held map[string]int, counts Counts) {
-	held = map[string]int{}
+// Status counts what is held now, by kind, and what came of what was asked.
+func (c *Core) Status() (held map[string]int, counts map[string]Counts) {
+	held, counts = map[string]int{}, map[string]Counts{}
 	for _, h := range c.records {
 		held[h.Kind.String()]++
 	}
-	return held, c.Counts
+	for k := Place; k < lastKind; k++ {
+		counts[k.String()] = c.counts[k]
+	}
+	return held, counts
 }
--- a/internal/holdings/holdings_test.go
+++ b/internal/holdings/holdings_test.go
@@ -25,6 +25,7 @@
 	inbox      []sent
 	lies       bool // its disk says that it has synced, and has not
 	lied       map[string][]byte
+	former     map[uint64]*holding
 }
 
 type sent struct {
@@ -107,6 +108,17 @@
 	w.nodes[i].wiped++
 }
 
+// power is lost for all, and back.
+func (w *world) power() {
+	for i := range w.nodes {
+		w.kill(i)
+	}
+	w.run(w.now + 100)
+	for i := range w.nodes {
+		w.start(i)
+	}
+}
+
 // views has all know who is up.
 func (w *world) views() {
 	var all []Member
@@ -169,7 +181,7 @@
 	from := x.pending[o.Token]
 	delete(x.pending, o.Token)
 	delete(w.takenBy, o.Token)
-	if o.OK && o.Record.Kind == Order {
+	if o.OK && !o.Record.Kind.once() {
 		x.record = o.Record
 	} else if o.OK {
 		if x.used++; x.used > 1 {
@@ -316,15 +328,7 @@
 				}
 			}
 		}, false},
-		"all power": {3, func(w *world) {
-			for i := range w.nodes {
-				w.kill(i)
-			}
-			w.run(w.now + 100)
-			for i := range w.nodes {
-				w.start(i)
-			}
-		}, false},
+		"all power": {3, (*world).power, false},
 		"a wiped one that returns": {3, func(w *world) {
 			i := holders(w)[2]
 			w.wipe(i)
@@ -555,7 +559,7 @@
 	assert.Equal(t, 3, held)
 	for i, n := range w.nodes[:3] {
 		w.wipe(8 - i)
-		token, acts := n.Read(w.now, Order, "relay-1")
+		token, acts := n.Read(w.now, Order, "relay-1", 1000)
 		w.words["order"] = &word{pending: map[uint64]float64{}}
 		w.takenBy[token] = "order"
 		w.do(i, acts)
@@ -564,6 +568,83 @@
 	}
 }
 
+// seeks has relay i seek a mark, and gives what became of it.
+func (w *world) seeks(i int, key string) *word {
+	x := &word{pending: map[uint64]float64{}}
+	w.words["sought"] = x
+	token, acts := w.nodes[i].Read(w.now, Mark, key, 50)
+	w.takenBy[token] = "sought"
+	w.do(i, acts)
+	w.run(w.now + 60)
+	return x
+}
+
+// A mark is found at any relay until its owner takes it back, whoever is lost or cut off meanwhile within the
+// promise; and one that was taken back is never found, whatever of it comes late, twice or never.
+func TestMarks(t *testing.T) {
+	for name, c := range map[string]struct {
+		copies int
+		over   bool // it is taken back
+		breaks func(w *world, holders []int)
+	}{
+		"nothing":                   {3, false, func(*world, []int) {}},
+		"its owner lost":            {3, false, func(w *world, _ []int) { w.wipe(0) }},
+		"one of three holders":      {3, false, func(w *world, h []int) { w.wipe(h[1]) }},
+		"two of five":               {5, false, func(w *world, h []int) { w.wipe(h[0]); w.wipe(h[4]) }},
+		"all power":                 {3, false, func(w *world, _ []int) { w.power() }},
+		"taken back":                {3, true, func(*world, []int) {}},
+		"taken back, and all power": {3, true, func(w *world, _ []int) { w.power() }},
+		"taken back, unheard by two": {3, true, func(w *world, h []int) {
+			w.nodes[h[0]].records, w.nodes[h[2]].records = w.nodes[h[0]].former, w.nodes[h[2]].former
+		}},
+	} {
+		for seed := range int64(20) {
+			w := newWorld(t, 9, 3, c.copies, seed, Faults{})
+			token, acts := w.nodes[0].Put(w.now, Record{Kind: Mark, Key: "k", End: w.now + 5000, Body: []byte("s")}, 50)
+			r := w.nodes[0].mine[token]
+			w.words["mark"] = &word{pending: map[uint64]float64{}}
+			w.putBy[token] = "mark"
+			w.do(0, acts)
+			w.run(w.now + 60)
+			require.Positive(t, w.words["mark"].given, name)
+			var holders []int
+			for _, h := range r.Holders {
+				i := slices.Index(w.nodes, w.node(h.Name))
+				holders = append(holders, i)
+				w.nodes[i].former = map[uint64]*holding{r.ID: {Record: r}}
+			}
+			if c.over {
+				w.do(0, w.nodes[0].Over(w.now, token))
+				w.run(w.now + 60)
+			}
+			c.breaks(w, holders)
+			w.views()
+			i := 1
+			for w.nodes[i].down {
+				i++
+			}
+			x := w.seeks(i, "k")
+			assert.Equal(t, !c.over, x.record.ID == r.ID, "%s, seed %d", name, seed)
+		}
+	}
+}
+
+// What has it held may come after what takes it back: then it is over as well.
+func TestMarkIsTakenBackFirst(t *testing.T) {
+	w := newWorld(t, 9, 3, 3, 1, Faults{})
+	token, acts := w.nodes[0].Put(w.now, Record{Kind: Mark, Key: "k", End: w.now + 5000}, 50)
+	w.do(0, w.nodes[0].Over(w.now, token))
+	w.run(w.now + 60)
+	w.do(0, acts)
+	w.run(w.now + 60)
+	assert.Zero(t, w.seeks(3, "k").record.ID)
+	w.run(w.now + 5000 + keptPast + 2000)
+	for i, n := range w.nodes {
+		assert.Empty(t, n.records, "relay %d", i)
+		assert.Empty(t, n.mine, "relay %d", i)
+	}
+}
+
 // Who comes too early has its place when it comes again, and who comes after its end has none.
 func TestPlaceIsForItsTime(t *testing.T) {
 	w := newWorld(t, 9, 3, 3, 1, Faults{})
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -50,6 +50,7 @@
 type link struct {
 	relay, life int // and which life of it
 	effect      string
+	errand      *errand
 	asked, due  float64
 	answered    string
 	over        bool // for the client
@@ -62,6 +63,12 @@
 	got         [2]int
 }
 
+// errand is all that a client asks for until it is answered UP: one effect is meant.
+type errand struct {
+	took int
+	last float64 // when it was asked for
+}
+
 type try struct {
 	server  string
 	at, end float64 // end: 0 while out
@@ -88,6 +95,7 @@
 	multiple float64
 	window   float64
 	links    map[string]*link
+	errands  map[string]*errand
 	lives    map[int]int
 	died     map[int]float64
 	told     map[int]map[string]told
@@ -103,13 +111,14 @@
 	Asks     int
 	Tries    int
 	Lines    int
+	Repeated int // single-use effects begun again by a client's further try: no rule, but what marks are for
 	Turned   int // clients that a relay did not let in while it was replaced
 }
 
 // New takes how much later than it was said a thing may be seen, and the multiple of its present capacity
 // that a cold server may be sent within the window.
 func New(slack, multiple, window float64) *Auditor {
-	return &Auditor{slack: slack, multiple: multiple, window: window, links: map[string]*link{},
+	return &Auditor{slack: slack, multiple: multiple, window: window, links: map[string]*link{}, errands: map[string]*errand{},
 		lives: map[int]int{}, died: map[int]float64{}, told: map[int]map[string]told{}, dark: map[string]bool{},
 		frozen: map[int]bool{}, lit: map[string]float64{},
 		pushes: map[string][]push{}, started: map[string]float64{}, pushedAt: map[string]float64{}}
@@ -137,13 +146,17 @@
 }
 
 // Asked takes that a link was asked for.
-func (a *Auditor) Asked(now float64, id string, relay int, effect string, wait float64) {
+func (a *Auditor) Asked(now float64, id, name string, relay int, effect string, wait float64) {
 	a.sweep(now)
 	a.Asks++
 	if a.links[id] != nil {
 		a.breaks(FinalAnswer, now, id, "a client used one id twice: the lab is at fault")
 	}
-	a.links[id] = &link{relay: relay, life: a.lives[relay], effect: effect, asked: now,
+	if a.errands[name] == nil {
+		a.errands[name] = &errand{}
+	}
+	a.errands[name].last = now
+	a.links[id] = &link{relay: relay, life: a.lives[relay], effect: effect, errand: a.errands[name], asked: now,
 		due: now + wait, onFrozen: a.frozen[relay]}
 }
 
@@ -297,6 +310,9 @@
 	if l.took++; l.took > 1 && l.effect == "single-use" {
 		a.breaks(Twice, now, id, "single-use, and done again on %s", server)
 	}
+	if l.errand.took++; l.errand.took > 1 && l.took == 1 && l.effect == "single-use" {
+		a.Repeated++
+	}
 }
 
 // Closed takes that the server ended a link that stood.
@@ -410,6 +426,11 @@
 			delete(a.links, id)
 		}
 	}
+	for name, e := range a.errands {
+		if now > e.last+2*forgetting {
+			delete(a.errands, name)
+		}
+	}
 }
 
 // Finish looks at what is still out at the end of a run, in the order of the links' ids.
--- a/internal/lab/audit/audit_test.go
+++ b/internal/lab/audit/audit_test.go
@@ -22,7 +22,7 @@
 		}
 		for i := range 12 {
 			id, now := fmt.Sprint("link-", i), 5100+float64(i)
-			a.Asked(now, id, 0, "replayable", 1000)
+			a.Asked(now, id, id, 0, "replayable", 1000)
 			a.TryCame(now, id, "s", true, 0.5, 0.1)
 		}
 		assert.Equal(t, c.breaks, a.Counts[Cold], "%s: %v", name, a.Breaks)
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -61,6 +61,7 @@
 	ReportAge   bool `toml:"report-age"` // whether operators say how old servers' reports may be
 	Council     int  `toml:"council"`    // voters that decide on zones, on the first machines; 0: none
 	Holdings    int  `toml:"holdings"`   // machines that what a relay tells a client lies on; 0: its own alone
+	Remember    Span `toml:"remember"`   // beyond a link's hard limit, that marks of its tries are held; 0: none are
 	Known       bool `toml:"known"`      // whether the platform gives a relay the list as it last had it
 }
 
@@ -196,6 +197,7 @@
 	"zone-lost":       "all servers and relays of a zone die, and are back, cold, at the end",
 	"region-lost":     "as a zone, all of a region",
 	"zone-grey":       "a zone's servers break that part of the setup tries (factor); their health calls are fine",
+	"answers-lost":    "that share of the servers do that part of the setup tries (factor), and break before they say so",
 	"zone-busy":       "somebody else takes that part of the cores of a zone's servers (factor)",
 	"zone-cut":        "nothing passes between one zone and the others",
 	"discovery-late":  "each change of the list is told that much later (factor, in seconds)",
@@ -303,6 +305,9 @@
 	if n := x.Relays.Holdings; n > 0 && (n%2 == 0 || n > 7 || !x.Relays.Peers || !x.Relays.Disk) {
 		return fmt.Errorf("relays.holdings: 1, 3, 5 or 7, and relays.peers and .disk, expected, got %d", n)
 	}
+	if m := x.Relays.Remember; m < 0 || m > 60000 || (m > 0 && x.Relays.Holdings == 0) {
+		return fmt.Errorf("relays.remember: 0 to 60 s, and relays.holdings, expected, got %.0f ms", float64(m))
+	}
 	clients := 0.0
 	for i := range x.Traffic {
 		t := &x.Traffic[i]
@@ -413,7 +418,7 @@
 			f.Factor = 0.4
 		case "slow-store":
 			f.Factor = 0.2
-		case "zone-grey":
+		case "zone-grey", "answers-lost":
 			f.Factor = 0.34
 		case "discovery-late":
 			f.Factor = 2
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -34,7 +34,7 @@
 var kinds = func() (all []string) {
 	for k := range experiment.Kinds {
 		switch k {
-		case "zone-grey", "region-lost", "zone-busy": // came later: so that seeds before them draw the same
+		case "zone-grey", "region-lost", "zone-busy", "answers-lost": // came later: so that seeds before them draw the same
 		default:
 			all = append(all, k)
 		}
--- a/internal/lab/live/machines_test.go
+++ b/internal/lab/live/machines_test.go
@@ -110,7 +110,7 @@
 // places at any relay, with machines lost with their disks meanwhile, ways cut and relays that sleep.
 func TestPlacesByProcesses(t *testing.T) {
 	binary := lab(t)
-	side := make(chan struct{}, 3)
+	side := make(chan struct{}, 4)
 	for _, c := range []struct {
 		name, faults string
 		missed       float64 // of those that found a place, the most that did not get it
@@ -142,7 +142,7 @@
 			for _, text := range r.Fleet {
 				var s fleet.Status
 				require.NoError(t, json.Unmarshal(text, &s))
-				n := s.Holdings.Counts
+				n := s.Holdings.Counts["places"]
 				promised, took, again, missed = promised+n.Promised, took+n.Took, again+n.Again, missed+n.Missed
 				t.Logf("relay: words held after %.1f ms, p99 %.1f", s.Holdings.P50, s.Holdings.P99)
 			}
@@ -153,3 +153,46 @@
 		})
 	}
 }
+
+// Where servers do what a single-use link asks for and break before they say so, clients try again at any of
+// nine processes: next to none of it is begun a second time, with machines lost with their disks, words lost
+// between them and processes that sleep.
+func TestMarksByProcesses(t *testing.T) {
+	binary := lab(t)
+	side := make(chan struct{}, 3)
+	for _, c := range []struct {
+		name, faults string
+		repeated     float64 // of the tries that meet a mark, the most that are begun again
+	}{
+		{"nothing more", "", 0.1},
+		{"a machine lost with its disk, and another", fault("relay-kill", "7s", "share = 0.12\ndisk = \"wiped\"") +
+			fault("relay-kill", "9s", "share = 0.12\ndisk = \"wiped\""), 0.15},
+		{"some sleep, a third of all words is lost", fault("relay-freeze", "8s", "for = \"700ms\"\nshare = 0.2") +
+			fault("way-loss", "6s", "for = \"8s\"\nfactor = 0.33\nfrom = \"relays\"\nto = \"relays\""), 0.25},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			side <- struct{}{}
+			defer func() { <-side }()
+			text := strings.NewReplacer("HONOURED", "0.9", "disk = true", "disk = true\nholdings = 3\nremember = \"20s\"",
+				"rate = 4", "rate = 12").Replace(nine) +
+				fault("answers-lost", "5s", "for = \"10s\"\nshare = 1.0\nfactor = 0.5") + c.faults
+			r := played(t, binary, text)
+			if r == nil {
+				return
+			}
+			assert.Zero(t, r.Audit.Broken(), "%v", r.Audit.Breaks)
+			met := 0
+			for _, text := range r.Fleet {
+				var s fleet.Status
+				require.NoError(t, json.Unmarshal(text, &s))
+				n := s.Holdings.Counts["marks"]
+				t.Logf("relay: marks %+v, held after %.1f ms, p99 %.1f", n, s.Holdings.P50, s.Holdings.P99)
+				met += int(n.Took)
+			}
+			t.Logf("further tries that met a mark %d, begun again %d", met, r.Audit.Repeated)
+			assert.Greater(t, met, 10)
+			assert.LessOrEqual(t, float64(r.Audit.Repeated), 1+c.repeated*float64(met))
+		})
+	}
+}
--- a/internal/lab/live/mates.go
+++ b/internal/lab/live/mates.go
@@ -62,7 +62,8 @@
 			text += fmt.Sprintf("[council]\nvoters = [%s]\n", strings.Join(voters[i], ", "))
 		}
 		if x.Relays.Holdings > 0 {
-			text += fmt.Sprintf("[holdings]\ncopies = %d\n", x.Relays.Holdings)
+			text += fmt.Sprintf("[holdings]\ncopies = %d\nremember = \"%.0fms\"\n", x.Relays.Holdings,
+				float64(x.Relays.Remember))
 		}
 		if x.Relays.Disk {
 			p.disk = filepath.Join(r.dir, fmt.Sprintf("disk-%d", i))
--- a/internal/lab/model/crowd.go
+++ b/internal/lab/model/crowd.go
@@ -63,6 +63,7 @@
 	in          lines.Splitter
 	stage       int
 	retry       bool
+	errands     int // that are done
 	again       bool
 	turn        int
 	said, heard int
@@ -370,7 +371,7 @@
 		head += ",again=1"
 	}
 	c.Heads++
-	c.watch.Asked(c.host.Now(), l.id, l.relay, l.kind.Effect, wait)
+	c.watch.Asked(c.host.Now(), l.id, l.key+"/"+strconv.Itoa(l.errands), l.relay, l.kind.Effect, wait)
 	c.host.Write(conn, []byte(head+"\r\n"))
 	c.limit(l, wait+slack+4*float64(c.x.Network.Delay+c.x.Network.Jitter))
 }
@@ -445,6 +446,7 @@
 		c.Stands++
 		record(c.Setup[l.kind.Category], now-l.since)
 		l.stage, l.retry, l.lastHeard = stands, false, now
+		l.errands++
 		return
 	}
 	// What more the relay says, it says to nobody: a first answer is final.
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -61,6 +61,7 @@
 	stolen   float64 // part of its cores
 	still    bool
 	grey     float64 // part of the setup tries that it breaks
+	unsaid   float64 // part of them that it does, and breaks before it says so
 
 	conns  map[uint64]*session
 	last   float64 // when work was last reckoned
@@ -206,6 +207,9 @@
 // Grey has the server break that part of the setup tries.
 func (s *Server) Grey(part float64) { s.grey = part }
 
+// Unsaid has the server do what that part of the setup tries ask for, and break before it says so.
+func (s *Server) Unsaid(part float64) { s.unsaid = part }
+
 // Stolen sets the part of its cores that somebody else takes.
 func (s *Server) Stolen(part float64) { s.advance(); s.stolen = part; s.plan() }
 
@@ -446,6 +450,10 @@
 	}
 	now := s.host.Now()
 	s.watch.Took(now, c.id, s.Name)
+	if s.unsaid > 0 && s.chance.Float64() < s.unsaid {
+		s.drop(c, true)
+		return
+	}
 	c.trying = false
 	s.watch.TryOver(now, c.id, s.Name)
 	c.stands = true
--- a/internal/lab/model/world.go
+++ b/internal/lab/model/world.go
@@ -307,6 +307,8 @@
 		return w.zonesLost(die, back, func(z int) bool { return w.x.Region(z) == region })
 	case "zone-grey":
 		return each(w.zone(), func(s *Server) { s.Grey(min(f.Factor, 1)) }, func(s *Server) { s.Grey(0) })
+	case "answers-lost":
+		return each(w.some(f.Share), func(s *Server) { s.Unsaid(min(f.Factor, 1)) }, func(s *Server) { s.Unsaid(0) })
 	case "zone-busy":
 		return each(w.zone(), func(s *Server) { s.Stolen(min(f.Factor, 0.99)) }, func(s *Server) { s.Stolen(0) })
 	case "zone-cut":
--- a/internal/lab/sim/holdings_test.go
+++ b/internal/lab/sim/holdings_test.go
@@ -22,11 +22,7 @@
 	for _, p := range s.relays {
 		if !p.over {
 			h := p.mates.core.Status(p.clock()).Holdings
-			sum.Promised += h.Counts.Promised
-			sum.Refused += h.Counts.Refused
-			sum.Took += h.Counts.Took
-			sum.Missed += h.Counts.Missed
-			sum.Again += h.Counts.Again
+			sum.Add(h.Counts["places"])
 			for kind, n := range h.Held {
 				left[kind] += n
 			}
@@ -61,3 +57,45 @@
 		})
 	}
 }
+
+// Where servers do what a single-use link asks for and break before they say so, its client tries again at
+// whatever relay: with marks next to nothing is begun a second time, also with machines lost with their disks,
+// lossy ways and relays that sleep; without, it is each time.
+func TestMarksKeepEffectsSingle(t *testing.T) {
+	lost := fault("answers-lost", "6s", "for = \"14s\"\nshare = 1.0\nfactor = 0.4")
+	with := strings.NewReplacer("disk = true", "disk = true\nholdings = 3\nremember = \"20s\"", `length = "34s"`,
+		`length = "24s"`).Replace(machines)
+	for name, c := range map[string]struct {
+		text     string
+		repeated int // at the most
+		least    int
+	}{
+		"nothing is held": {strings.Replace(machines, `length = "34s"`, `length = "24s"`, 1) + lost, 1000, 15},
+		"marks":           {with + lost, 0, 0},
+		"machines lost with their disks": {with + lost + fault("relay-kill", "9s", "share = 0.12\ndisk = \"wiped\"") +
+			fault("relay-kill", "12s", "share = 0.12\ndisk = \"wiped\""), 2, 0},
+		"a third of what relays say is lost": {with + lost + fault("way-loss", "6s",
+			"for = \"14s\"\nfactor = 0.33\nfrom = \"relays\"\nto = \"relays\""), 3, 0},
+		"some sleep": {with + lost + fault("relay-freeze", "9s", "for = \"2s\"\nshare = 0.2"), 3, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := New(parse(t, c.text), "module", nil)
+			r, err := s.Run()
+			require.NoError(t, err)
+			assert.Zero(t, r.Audit.Broken(), "%v", r.Audit.Breaks)
+			assert.LessOrEqual(t, r.Audit.Repeated, c.repeated)
+			assert.GreaterOrEqual(t, r.Audit.Repeated, c.least)
+			sum := holdings.Counts{}
+			for _, p := range s.relays {
+				if h := p.mates.core.Status(p.clock()).Holdings; h != nil && !p.over {
+					sum.Add(h.Counts["marks"])
+				}
+			}
+			t.Logf("repeated %d, %+v, service %.4f", r.Audit.Repeated, sum, r.Tally.Service(6000, 20000))
+			if c.least == 0 {
+				assert.Greater(t, sum.Took, uint64(20), "further tries that met a mark")
+			}
+		})
+	}
+}
--- a/internal/lab/sim/mates.go
+++ b/internal/lab/sim/mates.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand"
 	"strings"
 
@@ -40,6 +41,7 @@
 	p     *process
 	core  *fleet.Core
 	store *store.Store
+	dueAt float64 // of what others hold; 0: it is not waited for
 }
 
 func peerAddress(i int) string { return fmt.Sprintf("peer-%d", i) }
@@ -74,7 +76,7 @@
 	p.mates = m
 	p.take(relay.Event{Kind: relay.Restarted})
 	if x.Relays.Holdings > 0 {
-		m.do(m.core.Holds(own.Name, own.Life, x.Relays.Holdings, fleetKey, chance))
+		m.do(m.core.Holds(own.Name, own.Life, x.Relays.Holdings, float64(x.Relays.Remember), fleetKey, chance))
 	}
 	if x.Relays.Disk {
 		wait := readTime
@@ -128,19 +130,11 @@
 	})
 }
 
-// entrust and claim are what the relay asks for; nothing of it is done in the event that asks.
-func (m *mates) entrust(conn, key uint64, at float64) {
+// trust is what the relay asks for; nothing of it is done in the event that asks.
+func (m *mates) trust(f relay.Effect) {
 	m.s.net.after(0, func() {
 		if !m.p.over {
-			m.do(m.core.Entrust(m.p.clock(), conn, key, at))
-		}
-	})
-}
-
-func (m *mates) claim(key uint64) {
-	m.s.net.after(0, func() {
-		if !m.p.over {
-			m.do(m.core.Claim(m.p.clock(), key))
+			m.do(m.core.Trust(m.p.clock(), f))
 		}
 	})
 }
@@ -170,6 +164,19 @@
 			m.s.net.tell("relay %d fleet: %s", m.i, a.Note)
 		}
 	}
+	now := m.p.clock()
+	if wait := m.core.HeldDue(now); !math.IsInf(wait, 1) && (m.dueAt == 0 || now+wait < m.dueAt) {
+		due := now + max(wait, 0.01)
+		m.dueAt = due
+		m.s.net.after(due-now, func() {
+			if m.p.over || m.dueAt != due {
+				return
+			}
+			if m.dueAt = 0; !m.p.frozen {
+				m.do(m.core.HeldOn(m.p.clock()))
+			}
+		})
+	}
 }
 
 // machine is the relay's process on the machine of that address, and its number; nil: it can't be reached
--- a/internal/lab/sim/relay.go
+++ b/internal/lab/sim/relay.go
@@ -158,10 +158,8 @@
 		if p.net.trace != nil {
 			p.net.tell("%s note %s %v", p.address, f.Text, f.Args)
 		}
-	case relay.Entrust:
-		p.mates.entrust(f.Conn, f.Key, f.At)
-	case relay.Claim:
-		p.mates.claim(f.Key)
+	case relay.Entrust, relay.Claim, relay.Release:
+		p.mates.trust(f)
 	case relay.Quit:
 		p.net.after(1, func() {
 			if !p.over {
--- a/internal/lines/lines.go
+++ b/internal/lines/lines.go
@@ -66,6 +66,7 @@
 	ID, Category, Party, At []byte
 	Key, Group              uint64
 	Wait, Hint              float64 // milliseconds
+	Again                   bool    // the client has tried before, or had a connection that is over
 	before, after           []byte  // of the line, around the figure of the wait
 }
 
@@ -116,6 +117,8 @@
 			h.At = value
 		case "g":
 			h.Group = Mark(value)
+		case "r", "again":
+			h.Again = h.Again || string(value) == "1"
 		case "h":
 			h.Hint, err = number(name, value)
 		case "d":
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -28,9 +28,11 @@
 	Holdings Holdings `toml:"holdings"`
 }
 
-// Holdings says on how many machines lies what one has given its word for; 0: on its own alone.
+// Holdings says on how many machines lies what one has given its word for; 0: on its own alone. Marks of setup
+// tries that may run are held for so long beyond their links' hard limits; 0: none are.
 type Holdings struct {
-	Copies int `toml:"copies"`
+	Copies   int `toml:"copies"`
+	Remember Age `toml:"remember"`
 }
 
 const mostCopies = 7
@@ -162,7 +164,7 @@
 }
 
 // Default is what holds where no file is named.
-func Default() *File { return &File{} }
+func Default() *File { return &File{Holdings: Holdings{Remember: 10000}} }
 
 // Read reads the file at the path; an empty path gives the defaults.
 func Read(path string) (*File, error) {
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -13,6 +13,7 @@
 	Tries, Written, Probes, Watches                uint64 // sent; Written: heads
 	Satisfied, Rejected, Errored, Unwanted, Pushed uint64 // answered: UP, BUSY, ERR; client gone first; MOVE
 	Entrusted, Alone                               uint64 // BUSY that other relays hold as well; or that they should
+	Marked, Unmarked, Repeats                      uint64 // heads sent with a mark and without; further tries marked
 	Pieces, Lines                                  uint64 // of what standing clients said; passed to them
 	Endings                                        [len(endingNames)]uint64
 	Open, Standing, Most                           int // now, now, and the most sockets at once
@@ -29,7 +30,8 @@
 			"lines", c.Lines),
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
 			"unwanted", c.Unwanted, "moved", c.Pushed,
-			"entrusted", c.Entrusted, "alone", c.Alone),
+			"entrusted", c.Entrusted, "alone", c.Alone,
+			"marked", c.Marked, "unmarked", c.Unmarked, "repeats", c.Repeats),
 		slog.Group("endings", endings...),
 		slog.Group("bad clients", bad...),
 		slog.Group("sockets", "open", c.Open, "standing", c.Standing, "most", c.Most))
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -47,9 +47,9 @@
 	Recovers               // the whole fleet lost power and recovers, or (Off) has recovered
 	Clocked                // this relay's clock is Ahead of what the fleet takes for right
 	Directed               // a decision in common has links meant for zones: Toward, or none
-	Holds                  // other relays hold what this one gives its word for; others claim what they hold for it
-	Entrusted              // they hold what the client Conn is about to be told, or (Off) they don't
-	Claimed                // a client of Key was told to come at At, by this relay or another, and that is its to keep
+	Holds                  // other relays hold what this one gives its Word for: marks for At beyond a hard limit
+	Entrusted              // they hold the Word of Conn, or (Off) they don't
+	Claimed                // what they held: the Word on Key, for Conn; Off: nothing
 	Beyond                 // others placed the load Placed, which figures may not hold yet; below 0: not known
 )
 
@@ -76,8 +76,9 @@
 	Ahead  float64 // Clocked: ms
 	Placed float64 // Beyond
 	Toward []Toward
+	Word   Word    // Entrusted, Claimed
 	Key    uint64  // Claimed
-	At     float64 // Claimed
+	At     float64 // Claimed, Holds
 }
 
 // Do is what an effect asks for.
@@ -102,8 +103,9 @@
 	Ready    // the relay is fit to serve from now on
 	Bequeath // leave Left to the younger process
 	Confide  // tell the other process of this relay of the list News
-	Entrust  // have other relays hold that the client Conn of Key is told to come at At: Entrusted
-	Claim    // seek what they hold for a client of Key: Claimed, if anything
+	Entrust  // have other relays hold the Word of Conn, on a client of Key: Entrusted
+	Claim    // seek what they hold for a client of Key: Claimed
+	Release  // the Word of Conn is over
 )
 
 // Effect is one thing to be done, in order.
@@ -120,6 +122,7 @@
 	Peer   uint64
 	Passed *Passed
 	Key    uint64
+	Word   Word
 }
 
 const (
@@ -168,6 +171,7 @@
 	link    *link
 	backend *backend // that it goes to; nil: a client's
 	up      bool     // a backend's
+	waits   bool     // a backend's: it is up, and its head waits for others to hold that it goes out
 	pings   int
 	since   float64 // a client's: when it came; a backend's: its start, as it was told at the choice
 	brought float64 // and when it last brought anything of its head
@@ -185,6 +189,7 @@
 	standing
 	parting    // it stands, and is on its way to the younger process
 	entrusting // its answer is known, and other relays are about to hold it
+	asking     // others are asked whether its client's former try may have run
 	done
 )
 
@@ -197,10 +202,12 @@
 	id     string
 	head   lines.Head
 	giveUp float64
-	last   Ending // what the backend said of the end to come
-	ending bool   // it said so
-	broke  bool   // a side did while it was parting
-	quiet  timer  // for lines that bring nothing back
+	mark   uint64  // of a setup try that others hold, or are asked to: its connection; 0: none
+	heldBy float64 // clock time until which its head waits for that; 0: it does not
+	last   Ending  // what the backend said of the end to come
+	ending bool    // it said so
+	broke  bool    // a side did while it was parting
+	quiet  timer   // for lines that bring nothing back
 	leave  timer
 }
 
@@ -260,6 +267,8 @@
 	heardAt    float64 // from it, last
 	recovering bool
 	holds      bool
+	remember   float64 // beyond a link's hard limit, that others hold a mark; 0: none
+	lasting    []bool  // by category: what a setup try does may not simply be done again
 	ahead      float64 // of the fleet's clock, ms
 	dated      float64 // what discovery's clock was ahead of this relay's, as last told; NaN: never
 
@@ -302,6 +311,7 @@
 	for i := range p.Count("categories.count") {
 		r.limits = append(r.limits, p.Number("categories."+strconv.Itoa(i)+".hard-limit-ms"))
 		r.longest = max(r.longest, r.limits[i])
+		r.lasting = append(r.lasting, p.Text("categories."+strconv.Itoa(i)+".effect") != "idempotent")
 	}
 	r.answers = make([]answers, len(r.limits))
 	if t.Sockets > 0 {
@@ -393,11 +403,11 @@
 	case Directed:
 		r.directed(e.Toward)
 	case Holds:
-		r.holds = true
+		r.holds, r.remember = true, e.At
 	case Entrusted:
 		r.entrusted(e.Conn, !e.Off)
 	case Claimed:
-		r.table.Balancer.Promised(r.now, map[uint64]float64{e.Key: e.At})
+		r.claimed(e)
 	case Beyond:
 		r.table.Balancer.Others(e.Placed)
 	}
@@ -719,8 +729,9 @@
 		// are once they go on, and whoever comes then waits to be accepted until its time is up.
 		r.Carry(l, logic.Answer{Verdict: logic.Reject, Wait: r.maxBack})
 	default:
-		r.claims(l)
-		r.table.Place(r.now, l)
+		if r.claims(l); !r.asks(l) {
+			r.table.Place(r.now, l)
+		}
 	}
 }
 
@@ -777,9 +788,13 @@
 	l.server = r.dial(b, l)
 	l.server.wait.fire = func() { r.tryOver(l, NeverUp) }
 	r.arm(&l.server.wait, min(r.now+within, l.giveUp))
+	r.marks(l)
 }
 
 func (r *Reducer) tryUp(l *link) {
+	if r.waits(l) {
+		return
+	}
 	c := l.server
 	c.up = true
 	if l.stage == trying && (c.backend.condition != logic.Ready || c.backend.Since > c.since) {
@@ -847,6 +862,9 @@
 		r.resumeLater(l)
 		return
 	}
+	if !c.up || how.outcome().NeverRan() {
+		r.unmarks(l)
+	}
 	l.stage = placing
 	gone := l.client == nil
 	if gone {
@@ -875,7 +893,7 @@
 		r.Unwanted++
 		r.table.Balancer.Vanished(&l.Link.Link)
 		r.leaveHand(l)
-	case entrusting:
+	case entrusting, asking:
 		r.Unwanted++
 		r.leaveHand(l)
 	case resuming:
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -126,6 +126,16 @@
 			Leave: word[1] == "younger"}
 	case "confided":
 		e = Event{Kind: Confided, News: &News{Whole: true, Entries: entries(strings.Fields(event)[1:])}}
+	case "holds":
+		e = Event{Kind: Holds, At: 10000}
+	case "held", "unheld":
+		e = Event{Kind: Entrusted, Conn: s.conn(word[1]), Off: word[0] == "unheld"}
+	case "ran":
+		e = Event{Kind: Claimed, Word: Ran, Conn: s.conn(word[1]), Text: word[2], At: now - 500}
+	case "none":
+		e = Event{Kind: Claimed, Word: Ran, Conn: s.conn(word[1]), Off: true}
+	case "recovers":
+		e = Event{Kind: Recovers, Part: 0.5}
 	case "stop":
 		e = Event{Kind: Stop, Yield: len(word) > 1}
 	default:
@@ -175,6 +185,12 @@
 			said = append(said, "bequeath")
 		case Confide:
 			s.confides = f.News
+		case Entrust:
+			said = append(said, strings.TrimSpace(fmt.Sprint("entrust ", name, " ", f.Text)))
+		case Claim:
+			said = append(said, fmt.Sprint("claim ", name))
+		case Release:
+			said = append(said, "release "+name)
 		}
 	}
 	return strings.Join(said, "; ")
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -95,10 +95,9 @@
 	// Order takes an operators' order to empty the relay, or take it back to work; an error says what is
 	// missing.
 	Order(lame bool) error
-	// Entrust has others hold that a client of that key is told to come at that time: the event Entrusted follows.
-	// Claim seeks what they hold for one: Claimed, if anything. Neither waits for anything.
-	Entrust(conn, key uint64, at float64)
-	Claim(key uint64)
+	// Trust has others hold something (Entrust), or no more (Release), or seeks what they hold (Claim). It waits for
+	// nothing: events follow.
+	Trust(f Effect)
 	Status() any
 	Stop()
 }
@@ -376,10 +375,8 @@
 			s.parted = e.Passed
 		case Adopted:
 			s.adopted = e.Peer
-		case Entrust:
-			s.mates.Entrust(e.Conn, e.Key, e.At)
-		case Claim:
-			s.mates.Claim(e.Key)
+		case Entrust, Claim, Release:
+			s.mates.Trust(e)
 		case Quit:
 			close(s.quit)
 		}
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -63,6 +63,7 @@
 	} else {
 		r.Satisfied++
 		r.table.Balancer.Accepted(r.now, &l.Link.Link)
+		r.unmarks(l)
 	}
 	r.answers[l.Category].served++
 	r.write(l.client, line)
@@ -290,6 +291,9 @@
 			r.tryOver(l, NoAnswer)
 		case entrusting:
 			r.entrusted(c.conn, false)
+		case asking:
+			l.Limit = r.now
+			r.goesOn(l, Event{Off: true})
 		case placing:
 			l.Limit = r.now
 			r.table.Place(r.now, l)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -411,7 +411,7 @@
 // Place says where to send this link, or not yet, or never.
 func (b *Balancer) Place(now float64, l *Link) Answer {
 	if !l.known {
-		l.known, l.came, l.ran, l.server, l.lot = true, now, -1, -1, b.turns.chance.Uint64()
+		l.known, l.came, l.ran, l.server, l.lot = true, now, l.earlier-1, -1, b.turns.chance.Uint64()
 		b.effects.budget.take(now)
 		b.guess(l)
 		if b.part, _ = b.spread(); b.part < 1 && b.capacity == 0 {
@@ -597,7 +597,7 @@
 	if last || l.open || l.gone {
 		return Answer{}
 	}
-	if !outcome.neverRan() && l.ran < 0 {
+	if !outcome.NeverRan() && l.ran < 0 {
 		l.ran, l.ranAt, l.ranZone, l.ranCell = s, l.sent, b.zones[s], b.cells[s]
 	}
 	return b.Place(now, l)
--- a/logic/recovery.go
+++ b/logic/recovery.go
@@ -168,3 +168,13 @@
 		b.admits().Promised(now, b.effects.maxBack, told)
 	}
 }
+
+// Ran takes, before the link is placed for the first time, that an earlier one of its client's may have run,
+// at that server, at that time: it is treated as if that had been its own try. Where the server is not known,
+// no scope is.
+func (b *Balancer) Ran(l *Link, id uint32, at float64) {
+	l.earlier, l.ranAt, l.ranZone, l.ranCell = 1, at, -1, -1
+	if s, known := b.index[id]; known {
+		l.ranZone, l.ranCell = b.zones[s], b.cells[s]
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -53,8 +53,8 @@
 	Unsent
 )
 
-// neverRan tells whether the outcome proves that nothing ran.
-func (o Outcome) neverRan() bool { return o == TurnedAway || o == Unreachable || o == Unsent }
+// NeverRan tells whether the outcome proves that nothing ran.
+func (o Outcome) NeverRan() bool { return o == TurnedAway || o == Unreachable || o == Unsent }
 
 // Category is what the settings say of one kind of link.
 type Category struct {
@@ -76,6 +76,7 @@
 	sent      float64 // clock time of the latest setup try
 	came      float64 // clock time of the first question about it
 	ran       int     // the server of the first setup try that may have run, or -1
+	earlier   int     // 1: a try of its client's before it may have run, as ran then tells
 	ranAt     float64
 	ranZone   int
 	ranCell   int
