Operators see, export and verify what relays hold for each other, and have a relay leave

What counts as under copied or short is counted by a record's first living holder, so that sums count it once. `fleet` takes its words lazily, as `zone` does: a relay's start does not pay for them.

--- a/cmd/valeshift/fleet.go
+++ b/cmd/valeshift/fleet.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,29 +11,57 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/alecthomas/kong"
+
 	"valeshift/internal/fleet"
 )
 
+// fleetCommand passes its words on, as zoneCommand does.
 type fleetCommand struct {
+	Words []string `arg:"" optional:"" help:"Addresses, or leave and one: docs/recovery.md tells."`
+}
+
+// Run reads the words, and does what they say.
+func (c *fleetCommand) Run() error {
+	var l struct {
+		Show  fleetShow  `cmd:"" default:"withargs" help:"What relays keep and hear of each other."`
+		Leave fleetLeave `cmd:"" help:"Have a relay hand over all that it has, and say when it can be switched off."`
+	}
+	return words(&l, "valeshift fleet", c.Words)
+}
+
+// words reads a command's own words, and does what they say.
+func words(line any, name string, all []string) error {
+	parser, err := kong.New(line, kong.Name(name), kong.UsageOnError())
+	if err != nil {
+		return err
+	}
+	said, err := parser.Parse(all)
+	parser.FatalIfErrorf(err)
+	err = said.Run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+	}
+	return err
+}
+
+type fleetShow struct {
 	Addresses []string      `arg:"" help:"Where operators call the relays, address:port each."`
 	JSON      bool          `help:"Print what each relay says, as it says it."`
 	Within    time.Duration `default:"1s" help:"How long a relay is waited for."`
 }
 
 // Run asks each relay, and shows what it says of itself and of the others.
-func (c *fleetCommand) Run() error {
-	client := http.Client{Timeout: c.Within, Transport: &http.Transport{DisableKeepAlives: true}}
+func (c *fleetShow) Run() error {
+	client := calls(c.Within)
 	var failed error
 	for _, address := range c.Addresses {
-		text, err := c.ask(&client, address)
 		var s fleet.Status
-		if err == nil && !c.JSON {
-			err = json.Unmarshal(text, &s)
-		}
+		text, err := ask(client, address, "/_fleet", &s)
 		switch {
 		case err != nil:
-			failed = fmt.Errorf("%s: %w", address, err)
-			fmt.Fprintln(os.Stderr, "valeshift: fleet:", failed)
+			fmt.Fprintf(os.Stderr, "valeshift fleet: %s: %v\n", address, err)
+			failed = errors.New("not all relays have answered")
 		case c.JSON:
 			fmt.Printf("%s\n", text)
 		default:
@@ -41,16 +71,74 @@
 	return failed
 }
 
-func (c *fleetCommand) ask(client *http.Client, address string) ([]byte, error) {
-	answer, err := client.Get("http://" + address + "/_fleet")
+// calls is how operators' calls are made: each on a connection of its own.
+func calls(within time.Duration) *http.Client {
+	return &http.Client{Timeout: within, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// ask reads what a relay says.
+func ask(client *http.Client, address, path string, into any) ([]byte, error) {
+	answer, err := client.Get("http://" + address + path)
 	if err != nil {
 		return nil, err
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode == http.StatusNotFound {
-		return nil, fmt.Errorf("the relay keeps nothing and knows no others, as its operators' file names neither")
+		return nil, errors.New("the relay keeps nothing of that kind, as its operators' file does not name it")
+	}
+	text, err := io.ReadAll(io.LimitReader(answer.Body, mostSaid))
+	if err != nil {
+		return nil, err
+	}
+	return text, json.Unmarshal(text, into)
+}
+
+const mostSaid = 64 << 20 // bytes of an answer
+
+type fleetLeave struct {
+	Address string        `arg:"" help:"Where operators call the relay, address:port."`
+	Within  time.Duration `default:"60s" help:"How long it has for it. It goes on after that as well."`
+	Every   time.Duration `default:"500ms" hidden:""`
+}
+
+// Run has the relay empty itself, and waits until nothing rests on it: no link that stands, nothing that it
+// holds for others.
+func (c *fleetLeave) Run() error {
+	client := calls(3 * time.Second)
+	answer, err := client.Post("http://"+c.Address+"/_lameduck/on", "", nil)
+	if err != nil {
+		return err
+	}
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, mostSaid))
+	answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("it does not leave: %s", bytes.TrimSpace(text))
+	}
+	last := ""
+	for until := time.Now().Add(c.Within); ; time.Sleep(c.Every) {
+		var s fleet.Status
+		if _, err := ask(client, c.Address, "/_fleet", &s); err != nil {
+			return fmt.Errorf("it was told to leave, and says no more: %w", err)
+		}
+		left, held := s.Links, 0
+		if s.Holdings != nil {
+			for _, k := range s.Holdings.Kinds {
+				held += k.Open
+			}
+		}
+		if left == 0 && held == 0 {
+			fmt.Printf("%s: nothing rests on it any more: it can be switched off\n", c.Address)
+			return nil
+		}
+		what := fmt.Sprintf("%d links and %d records of others are left", left, held)
+		if time.Now().After(until) {
+			return fmt.Errorf("%s; it goes on with that", what)
+		}
+		if what != last {
+			fmt.Printf("%s: %s\n", c.Address, what)
+			last = what
+		}
 	}
-	return io.ReadAll(io.LimitReader(answer.Body, 8<<20))
 }
 
 func show(to io.Writer, address string, s *fleet.Status) {
@@ -72,7 +160,7 @@
 	if h := s.Holdings; h != nil {
 		n := h.Counts["places"]
 		fmt.Fprintf(to, "  holds %d places, %d marks and %d orders for others; enough relays for a promise %t\n",
-			h.Held["places"], h.Held["marks"], h.Held["orders"], h.Able)
+			h.Kinds["places"].Held, h.Kinds["marks"].Held, h.Kinds["orders"].Held, h.Able)
 		fmt.Fprintf(to, "  places held by others %d, not in time %d; taken %d, used before %d, not got in time %d\n",
 			n.Promised, n.Refused, n.Took, n.Again, n.Missed)
 		n = h.Counts["marks"]
--- /dev/null
+++ b/cmd/valeshift/holdings.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"valeshift/internal/fleet"
+	"valeshift/internal/holdings"
+)
+
+// holdingsCommand passes its words on, as zoneCommand does.
+type holdingsCommand struct {
+	Words []string `arg:"" optional:"" help:"Addresses, or export or verify and some: docs/holdings.md."`
+}
+
+// Run reads the words, and does what they say.
+func (c *holdingsCommand) Run() error {
+	var l struct {
+		Show   holdingsShow   `cmd:"" default:"withargs" help:"How many of each kind relays hold, and how whole that is."`
+		Export holdingsExport `cmd:"" help:"Each record that relays hold, as a line of JSON."`
+		Verify holdingsVerify `cmd:"" help:"Hold what relays have against each other."`
+	}
+	return words(&l, "valeshift holdings", c.Words)
+}
+
+type asked struct {
+	Addresses []string      `arg:"" help:"Where operators call the relays, address:port each."`
+	Within    time.Duration `default:"3s" help:"How long an answer is waited for."`
+}
+
+type holdingsShow struct {
+	asked
+}
+
+// Run sums what the relays say.
+func (c *holdingsShow) Run() error {
+	standing, counts := map[string]holdings.Standing{}, map[string]holdings.Counts{}
+	for _, address := range c.Addresses {
+		var s fleet.Status
+		if _, err := ask(calls(c.Within), address, "/_fleet", &s); err != nil {
+			return fmt.Errorf("%s: %w", address, err)
+		}
+		if s.Holdings == nil {
+			return fmt.Errorf("%s: it holds nothing for others, as its operators' file names no copies", address)
+		}
+		if !s.Holdings.Able {
+			fmt.Printf("%s: not enough relays for a promise\n", address)
+		}
+		for kind, k := range s.Holdings.Kinds {
+			sum := standing[kind]
+			sum.Held, sum.Open, sum.Under, sum.Short = sum.Held+k.Held, sum.Open+k.Open, sum.Under+k.Under, sum.Short+k.Short
+			standing[kind] = sum
+		}
+		for kind, k := range s.Holdings.Counts {
+			sum := counts[kind]
+			sum.Add(k)
+			counts[kind] = sum
+		}
+	}
+	w := tabwriter.NewWriter(os.Stdout, 2, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "kind\tcopies\topen\tunder-copied\tshort\tpromised\trefused\tfull\tsought\tfound\tused before\tmissed\t")
+	for _, kind := range sorted(counts) {
+		s, n := standing[kind], counts[kind]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", kind, s.Held, s.Open, s.Under, s.Short,
+			n.Promised, n.Refused, n.Full, n.Sought, n.Took, n.Again, n.Missed)
+	}
+	return w.Flush()
+}
+
+func sorted[T any](of map[string]T) (all []string) {
+	for kind := range of {
+		all = append(all, kind)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// pages reads all that a relay holds.
+func (c *asked) pages(address string, take func(p *holdings.Page) error) error {
+	for part := range holdings.Parts {
+		var p holdings.Page
+		if _, err := ask(calls(c.Within), address, fmt.Sprintf("/_holdings?part=%d", part), &p); err != nil {
+			return fmt.Errorf("%s: %w", address, err)
+		}
+		if err := take(&p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type holdingsExport struct {
+	asked
+}
+
+// Run writes out each record.
+func (c *holdingsExport) Run() error {
+	out := json.NewEncoder(os.Stdout)
+	for _, address := range c.Addresses {
+		if err := c.pages(address, func(p *holdings.Page) error {
+			for _, r := range p.Records {
+				if err := out.Encode(struct {
+					Holder string
+					holdings.Shown
+				}{p.Name, r}); err != nil {
+					return err
+				}
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type holdingsVerify struct {
+	asked
+}
+
+// Run says how whole copies are, and fails where something contradicts itself or is not whole.
+func (c *holdingsVerify) Run() error {
+	var all []holdings.Page
+	for _, address := range c.Addresses {
+		if err := c.pages(address, func(p *holdings.Page) error { all = append(all, *p); return nil }); err != nil {
+			return err
+		}
+	}
+	found, bad := holdings.Verify(all), 0
+	for _, kind := range sorted(found) {
+		f := found[kind]
+		fmt.Printf("%s: %d open, %d whole, %d under-copied, %d short, %d with holders that were not asked\n", kind, f.Records,
+			f.Whole, f.Under, f.Short, f.Unknown)
+		for _, what := range f.Wrong {
+			fmt.Println("  WRONG:", what)
+		}
+		bad += len(f.Wrong) + f.Short
+	}
+	if bad > 0 {
+		return errors.New("not all is as it was promised")
+	}
+	return nil
+}
--- a/cmd/valeshift/zone.go
+++ b/cmd/valeshift/zone.go
@@ -13,27 +13,18 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/alecthomas/kong"
-
 	"valeshift/internal/failover"
 )
 
 // zoneCommand passes its words on to zoneLine, whose fields are read only then: each start of the relay
 // would pay for them by a twentieth of its CPU.
 type zoneCommand struct {
-	Words []string `arg:"" optional:"" passthrough:"" help:"What to do, and flags: docs/council.md tells."`
+	Words []string `arg:"" optional:"" help:"What to do, and flags: docs/council.md tells."`
 }
 
 // Run reads the words, and does what they say.
 func (c *zoneCommand) Run() error {
-	var l zoneLine
-	words, err := kong.New(&l, kong.Name("valeshift zone"), kong.UsageOnError())
-	if err != nil {
-		return err
-	}
-	_, err = words.Parse(c.Words)
-	words.FatalIfErrorf(err)
-	return l.Run()
+	return words(&zoneLine{}, "valeshift zone", c.Words)
 }
 
 type zoneLine struct {
@@ -52,14 +43,6 @@
 // Run asks the voters, or has whoever leads take an order.
 func (c *zoneLine) Run() error {
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	err := c.run(client)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "valeshift: zone:", err)
-	}
-	return err
-}
-
-func (c *zoneLine) run(client *http.Client) error {
 	if c.Do == "status" || c.Do == "history" {
 		return c.show(client)
 	}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -481,7 +481,7 @@
 func (c *Core) Status(now float64) Status {
 	s := Status{Recovery: c.plan.Status(now), Boot: c.boot, Order: c.order, Lame: c.lame, Disk: c.diskWhy,
 		Waiting: c.seen.Waiting, Links: c.seen.Links, Cold: c.seen.Cold, Usable: c.seen.Usable,
-		Ahead: -c.off, Council: c.councilStatus(now), Holdings: c.holdingsStatus()}
+		Ahead: -c.off, Council: c.councilStatus(now), Holdings: c.holdingsStatus(now)}
 	if c.peers == nil {
 		return s
 	}
--- a/internal/fleet/holdings.go
+++ b/internal/fleet/holdings.go
@@ -300,19 +300,27 @@
 
 // HoldingsStatus is what operators are told.
 type HoldingsStatus struct {
-	Held   map[string]int
+	Kinds  map[string]holdings.Standing
 	Able   bool                       // there are relays enough for a promise
 	Counts map[string]holdings.Counts // by kind
 	P50    float64                    // ms, that the latest words took until others held them; 0: there were none
 	P99    float64
 }
 
-func (c *Core) holdingsStatus() *HoldingsStatus {
+// Page shows one part of what this relay holds for others; nil where it holds nothing for any.
+func (c *Core) Page(now float64, part int) *holdings.Page {
+	if c.held == nil {
+		return nil
+	}
+	return c.held.core.Page(c.fleetTime(now), part)
+}
+
+func (c *Core) holdingsStatus(now float64) *HoldingsStatus {
 	if c.held == nil {
 		return nil
 	}
 	s := &HoldingsStatus{Able: c.held.core.Able()}
-	s.Held, s.Counts = c.held.core.Status()
+	s.Kinds, s.Counts = c.held.core.Status(c.fleetTime(now))
 	if n := min(c.held.words, latest); n > 0 {
 		took := slices.Sorted(slices.Values(c.held.took[:n]))
 		s.P50, s.P99 = took[n/2], took[n*99/100]
--- a/internal/fleet/processes_test.go
+++ b/internal/fleet/processes_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -121,6 +122,15 @@
 	return answer.StatusCode
 }
 
+// command has the program ask, or order, those machines.
+func (m *machine) command(of []*machine, words ...string) (string, error) {
+	for _, o := range of {
+		words = append(words, o.ops)
+	}
+	text, err := exec.Command(m.binary, words...).CombinedOutput()
+	return string(text), err
+}
+
 // eventually waits until every machine given is as it should be.
 func eventually(t *testing.T, all []*machine, what string, is func(m *machine, s Status) bool) {
 	t.Helper()
@@ -325,13 +335,22 @@
 	require.Equal(t, http.StatusOK, all[4].lame("on"))
 	holders := func() (n []int) {
 		for _, m := range all {
-			if s, err := m.status(); err == nil && s.Holdings.Held["orders"] > 0 {
+			if s, err := m.status(); err == nil && s.Holdings.Kinds["orders"].Held > 0 {
 				n = append(n, m.number)
 			}
 		}
 		return n
 	}
 	assert.Len(t, holders(), 3)
+	text, err := all[0].command(all, "holdings", "verify")
+	assert.NoError(t, err, "%s", text)
+	assert.Contains(t, text, "orders: 1 open, 1 whole")
+	text, err = all[0].command(all, "holdings", "export")
+	assert.NoError(t, err, "%s", text)
+	assert.Equal(t, 3, strings.Count(text, `"Kind":"orders","Key":"relay-4"`), "%s", text)
+	text, err = all[0].command(all, "holdings")
+	assert.NoError(t, err, "%s", text)
+	assert.Regexp(t, `orders +3 +3 +0 +0`, text)
 	for _, m := range all { // all memory is gone, and the disk of the machine that took it
 		m.kill()
 	}
@@ -345,15 +364,18 @@
 	if leaves == all[4] {
 		leaves = all[holders()[1]]
 	}
-	code := leaves.lame("on")
-	text, _ := os.ReadFile(leaves.path("log"))
-	require.Equal(t, http.StatusOK, code, "%s", text)
-	until("it holds nothing any more", []*machine{leaves}, func(s Status) bool { return s.Holdings.Held["orders"] == 0 })
+	text, err = leaves.command([]*machine{leaves}, "fleet", "leave", "--within", "20s")
+	require.NoError(t, err, "%s; %s", text, logged{leaves})
+	assert.Contains(t, text, "it can be switched off")
 	leaves.kill()
+	text, err = all[0].command(slices.DeleteFunc(slices.Clone(all), func(m *machine) bool { return m == leaves }),
+		"holdings", "verify")
+	assert.NoError(t, err, "%s", text)
+	assert.Contains(t, text, "orders: 2 open, 2 whole, 0 under-copied, 0 short, 0 with")
 	rest := 0
 	for _, m := range all {
 		if s, err := m.status(); err == nil {
-			rest += s.Holdings.Held["orders"]
+			rest += s.Holdings.Kinds["orders"].Held
 		}
 	}
 	assert.GreaterOrEqual(t, rest, 6, "two orders, three machines each")
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -501,6 +501,16 @@
 	}
 }
 
+// Held shows one part of what is held for others; nil where nothing is.
+func (r *Run) Held(part int) any {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if p := r.core.Page(r.now(), part); p != nil {
+		return p
+	}
+	return nil
+}
+
 // Status is what operators are told.
 func (r *Run) Status() any {
 	r.mutex.Lock()
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -909,14 +909,44 @@
 	return c.done(e, false, "not in time")
 }
 
-// Status counts what is held now, by kind, and what came of what was asked.
-func (c *Core) Status() (held map[string]int, counts map[string]Counts) {
-	held, counts = map[string]int{}, map[string]Counts{}
+// Standing is how things are with what is held of a kind. Under and Short count what this relay is the first
+// living holder of, so that all relays' sums count each record once.
+type Standing struct {
+	Held  int // here
+	Open  int // of those: to be used, or to be read, yet
+	Under int // some holder is not there
+	Short int // no more than half are: it can't be used, or read for certain, until more are
+}
+
+// Status tells how things stand, by kind, and what came of what was asked.
+func (c *Core) Status(now float64) (standing map[string]Standing, counts map[string]Counts) {
+	standing, counts = map[string]Standing{}, map[string]Counts{}
+	there := map[string]bool{}
+	for _, m := range c.members {
+		there[m.Name] = true
+	}
 	for _, h := range c.records {
-		held[h.Kind.String()]++
+		s := standing[h.Kind.String()]
+		if s.Held++; h.open() && h.End > now {
+			s.Open++
+			lives, first := 0, ""
+			for _, o := range h.Holders {
+				if there[o.Name] {
+					lives++
+					first = cmp.Or(first, o.Name)
+				}
+			}
+			if n := len(h.Holders); first == c.name && lives < n {
+				s.Under++
+				if 2*lives <= n {
+					s.Short++
+				}
+			}
+		}
+		standing[h.Kind.String()] = s
 	}
 	for k := Place; k < lastKind; k++ {
 		counts[k.String()] = c.counts[k]
 	}
-	return held, counts
+	return standing, counts
 }
--- /dev/null
+++ b/internal/holdings/shown_test.go
@@ -0,0 +1,90 @@
+package holdings
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func (w *world) pages() (all []Page) {
+	for _, n := range w.nodes {
+		for part := range Parts {
+			if p := n.Page(w.now, part); len(p.Records) > 0 || part == 0 {
+				all = append(all, *p)
+			}
+		}
+	}
+	return all
+}
+
+// What relays show is held against each other: copies that are missing are counted, what can't be is named.
+func TestVerify(t *testing.T) {
+	pick := func(p []Page, holder int) (r *Shown) {
+		id := ""
+		for i := range p {
+			for k := range p[i].Records {
+				if x := &p[i].Records[k]; x.Kind == "orders" && (id == "" || id == x.ID) && p[i].Name == x.Holders[holder].Name {
+					return x
+				}
+			}
+		}
+		return nil
+	}
+	without := func(p []Page, names ...string) (left []Page) {
+		return slices.DeleteFunc(slices.Clone(p), func(x Page) bool { return slices.Contains(names, x.Name) })
+	}
+	emptied := func(p []Page, names ...string) []Page {
+		p = slices.Clone(p)
+		for i := range p {
+			if slices.Contains(names, p[i].Name) {
+				p[i].Records = nil
+			}
+		}
+		return p
+	}
+	for name, c := range map[string]struct {
+		change func(p []Page) []Page
+		want   Finding // of orders, of which there is one
+		wrong  string
+	}{
+		"as it is":         {func(p []Page) []Page { return p }, Finding{Records: 1, Whole: 1}, ""},
+		"one not asked":    {func(p []Page) []Page { return without(p, pick(p, 0).Holders[1].Name) }, Finding{Records: 1, Unknown: 1}, ""},
+		"one has lost it":  {func(p []Page) []Page { return emptied(p, pick(p, 0).Holders[1].Name) }, Finding{Records: 1, Under: 1}, ""},
+		"two have lost it": {func(p []Page) []Page { h := pick(p, 0).Holders; return emptied(p, h[0].Name, h[2].Name) }, Finding{Records: 1, Short: 1}, ""},
+		"it is two":        {func(p []Page) []Page { pick(p, 1).Body = []byte("other"); return p }, Finding{Records: 1, Whole: 1}, "is two"},
+		"another version":  {func(p []Page) []Page { pick(p, 2).Version = 9; return p }, Finding{Records: 1, Whole: 1}, "another record"},
+		"no end":           {func(p []Page) []Page { pick(p, 2).End = 1e300; return p }, Finding{Records: 1, Whole: 1}, "beyond all bounds"},
+		"at a stranger": {func(p []Page) []Page {
+			p[0].Records = append(p[0].Records, *pick(p, 0))
+			p[0].Name = "stranger"
+			return p
+		}, Finding{Records: 1, Whole: 1}, "none of its holders"},
+	} {
+		w := newWorld(t, 9, 3, 3, 4, Faults{})
+		_, acts := w.nodes[2].Put(w.now, Record{Kind: Order, Key: "n2", Version: 1, End: w.now + 1e6, Body: []byte("x")}, 50)
+		w.do(2, acts)
+		w.gives(1, "k", w.now+5000)
+		w.run(w.now + 60)
+		w.comes(3, "k")
+		w.run(w.now + 60)
+		text, err := json.Marshal(w.pages())
+		require.NoError(t, err)
+		var pages []Page
+		require.NoError(t, json.Unmarshal(text, &pages))
+		found := Verify(c.change(pages))
+		got := *found["orders"]
+		wrong := got.Wrong
+		if got.Wrong = nil; name != "at a stranger" {
+			assert.Equal(t, c.want, got, name)
+		}
+		assert.Zero(t, found["places"].Records, "%s: it is used", name)
+		if c.wrong == "" {
+			assert.Empty(t, wrong, name)
+		} else if assert.NotEmpty(t, wrong, name) {
+			assert.Contains(t, wrong[0], c.wrong, name)
+		}
+	}
+}
--- a/internal/lab/sim/holdings_test.go
+++ b/internal/lab/sim/holdings_test.go
@@ -23,8 +23,8 @@
 		if !p.over {
 			h := p.mates.core.Status(p.clock()).Holdings
 			sum.Add(h.Counts["places"])
-			for kind, n := range h.Held {
-				left[kind] += n
+			for kind, n := range h.Kinds {
+				left[kind] += n.Held
 			}
 		}
 	}
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -1,4 +1,4 @@
-// Package ops is where operators call: HTTP/1.1, four calls, one to a connection. It turns calls into what
+// Package ops is where operators call: HTTP/1.1, five calls, one to a connection. It turns calls into what
 // its Relay does and writes out the figures that were published last. It must never wait for a client's
 // traffic, look at the relay's state itself, or act on who calls.
 package ops
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -37,6 +38,8 @@
 	LameDuck(on bool) error
 	// Fleet is what the relay keeps and hears of others, to be told as JSON; nil where it does neither.
 	Fleet() any
+	// Held is one part of what it holds for others, from 0 on, as JSON; nil where it holds nothing for any.
+	Held(part int) any
 }
 
 // Serve answers calls at the listener until that is closed.
@@ -68,14 +71,22 @@
 			fmt.Fprintf(w, "relay.%s:%d|%s\n", f.Name, f.Value, kind)
 		}
 	})
-	calls.HandleFunc("GET /_fleet", func(w http.ResponseWriter, r *http.Request) {
-		status := relay.Fleet()
-		if status == nil {
+	tell := func(w http.ResponseWriter, r *http.Request, what any) {
+		if what == nil {
 			http.NotFound(w, r)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(status)
+		json.NewEncoder(w).Encode(what)
+	}
+	calls.HandleFunc("GET /_fleet", func(w http.ResponseWriter, r *http.Request) { tell(w, r, relay.Fleet()) })
+	calls.HandleFunc("GET /_holdings", func(w http.ResponseWriter, r *http.Request) {
+		part, err := strconv.Atoi(r.URL.Query().Get("part"))
+		if err != nil || part < 0 {
+			http.Error(w, "part: a number from 0 on expected", http.StatusBadRequest)
+			return
+		}
+		tell(w, r, relay.Held(part))
 	})
 	for word, on := range map[string]bool{"on": true, "off": false} {
 		calls.HandleFunc("POST /_lameduck/"+word, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/ops/ops_test.go
+++ b/internal/ops/ops_test.go
@@ -39,6 +39,13 @@
 	return map[string]int{"Boot": 3}
 }
 
+func (s *stub) Held(part int) any {
+	if part == 0 {
+		return nil
+	}
+	return map[string]int{"Part": part}
+}
+
 func serve(t *testing.T) (*stub, string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -79,6 +86,9 @@
 		{"on", func() {}, "POST", "/_lameduck/on", 200, "on\n"},
 		{"off", func() {}, "POST", "/_lameduck/off", 200, "off\n"},
 		{"refused", func() { s.stopping.Store(true) }, "POST", "/_lameduck/off", 409, "stopping\n"},
+		{"holdings", func() {}, "GET", "/_holdings?part=7", 200, "{\"Part\":7}\n"},
+		{"nothing held", func() {}, "GET", "/_holdings?part=0", 404, "404 page not found\n"},
+		{"no part", func() {}, "GET", "/_holdings?part=-1", 400, "part: a number from 0 on expected\n"},
 		{"other method", func() {}, "GET", "/_lameduck/on", 405, "Method Not Allowed\n"},
 		{"other method", func() {}, "POST", "/_vars", 405, "Method Not Allowed\n"},
 		{"other path", func() {}, "GET", "/_lameduck", 404, "404 page not found\n"},
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -97,6 +97,14 @@
 	return nil
 }
 
+// Held is one part of what is held for other relays; nil where nothing is.
+func (c calls) Held(part int) any {
+	if c.mates == nil {
+		return nil
+	}
+	return c.mates.Held(part)
+}
+
 // Fleet is what is kept and heard of others; nil where nothing is.
 func (c calls) Fleet() any {
 	if c.mates == nil {
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -98,6 +98,8 @@
 	// Trust has others hold something (Entrust), or no more (Release), or seeks what they hold (Claim). It waits for
 	// nothing: events follow.
 	Trust(f Effect)
+	// Held shows one part of what is held for others, to be told as JSON; nil where nothing is.
+	Held(part int) any
 	Status() any
 	Stop()
 }
