Where clients stand lies at other relays as a hint, and guides those that return

Change: kind `affinity` in holdings: in memory, capped, one owner's part bounded, never washed out by new ones, told anew where not all held it, taken back as its client ends. A client that says it returns is asked about for 8 ms at the most; the module goes by it at a link's first try, where that server may have it. Off by default (`stood`).

--- a/cmd/valeshift/main.go
+++ b/cmd/valeshift/main.go
@@ -96,7 +96,7 @@
 	if p.Listen != "" {
 		others = &fleet.Peers{Listen: p.Listen, Zone: p.Zone, Region: p.Region, KeyFile: p.KeyFile, Seeds: p.Seeds,
 			Only: p.Only, Voters: file.Council.Voters, Copies: file.Holdings.Copies,
-			Remember: float64(file.Holdings.Remember)}
+			Remember: float64(file.Holdings.Remember), Stood: file.Holdings.Stood}
 	}
 	var disk store.FS
 	if file.Disk.Folder != "" {
--- a/internal/fleet/holdings.go
+++ b/internal/fleet/holdings.go
@@ -22,9 +22,13 @@
 	mostHoldings = 1 << 18 // of other relays' records, on this disk
 	holdWithin   = 200.0   // ms, after which a promise is given up by its holders as well
 	viewEvery    = 200.0
-	markBack     = 2.0   // of the time that a link waits for word of a mark, for that to come to it
-	holdingFrame = 'h'   // first byte of such a datagram, which no peers' one has
-	placeLate    = 700.0 // after the time told, as admission counts it
+	wordBack     = 1.0    // of the time that a link waits for a word, for that to come to it
+	stoodFor     = 3.0e6  // that a word on where a client stands holds, unless it ends before
+	sweepEvery   = 5000.0 // of what may be taken back
+	hintsEvery   = 2000.0 // that hints are told anew that were not held
+	mostHints    = 500    // of them at a time
+	holdingFrame = 'h'    // first byte of such a datagram, which no peers' one has
+	placeLate    = 700.0  // after the time told, as admission counts it
 
 	orderFor     = 3e6 // that others hold an order, unless it is held anew
 	orderWithin  = 800.0
@@ -41,10 +45,16 @@
 	at   float64
 }
 
-// marked is until when others hold a mark at the most, by this relay's time.
-type marked struct {
+// given is what the relay may take back: a word on a connection.
+type given struct {
+	word relay.Word
 	conn uint64
-	end  float64
+}
+
+// ending is until when others hold it at the most, by this relay's time.
+type ending struct {
+	given
+	end float64
 }
 
 type held struct {
@@ -52,14 +62,18 @@
 	key     []byte
 	life    uint64
 	viewAt  float64
+	sweepAt float64
 	members []holdings.Member
 	entrust map[uint64]entrusted // by token
 	took    [latest]float64      // ms, that the latest words took to be held, in turn
 	words   int
 	claims  map[uint64]relay.Effect // by token
-	marks   map[uint64]uint64       // tokens by the connection of the setup try
-	marked  []marked                // those, as they came
-	older   bool                    // this disk is not the one that the relay has spoken by
+	given   map[given]uint64        // tokens of what may be taken back
+	ends    []ending                // of those, as they came
+	hints   map[uint64]relay.Effect // on their way, by token
+	again   []relay.Effect          // hints that others did not hold, to be told anew
+	againAt float64
+	older   bool // this disk is not the one that the relay has spoken by
 
 	orders  map[uint64]bool // tokens of those that are being held, or read
 	reads   int             // times that it was read so far
@@ -70,13 +84,14 @@
 }
 
 // Holds has the relay's words held by so many machines, this one among them where the lot falls on it; marks
-// of setup tries for so long beyond their links' hard limits, 0: none are kept.
-func (c *Core) Holds(name string, life uint64, copies int, remember float64, key []byte, chance *rand.Rand) []Act {
+// of setup tries for so long beyond their links' hard limits, 0: none are kept; and where clients stand.
+func (c *Core) Holds(name string, life uint64, copies int, remember float64, stood bool, key []byte,
+	chance *rand.Rand) []Act {
 	c.held = &held{core: holdings.New(name, life, copies, mostHoldings, chance), key: key, life: life,
-		entrust: map[uint64]entrusted{}, claims: map[uint64]relay.Effect{}, marks: map[uint64]uint64{},
+		entrust: map[uint64]entrusted{}, claims: map[uint64]relay.Effect{}, given: map[given]uint64{}, hints: map[uint64]relay.Effect{},
 		orders: map[uint64]bool{}}
 	c.held.core.Mute(true)
-	return []Act{{Tell: &relay.Event{Kind: relay.Holds, At: remember}}}
+	return []Act{{Tell: &relay.Event{Kind: relay.Holds, At: remember, Stood: stood}}}
 }
 
 // fleetTime is the time that all relays mean, of this relay's.
@@ -134,34 +149,48 @@
 		return nil
 	}
 	h, at, key := c.held, c.fleetTime(now), placeKey(f.Key)
+	mine := given{f.Word, f.Conn}
+	var token uint64
+	var acts []holdings.Act
 	switch {
 	case f.Do == relay.Release:
-		token := h.marks[f.Conn]
-		delete(h.marks, f.Conn)
+		token = h.given[mine]
+		delete(h.given, mine)
 		return c.holds(now, h.core.Over(at, token))
-	case f.Do == relay.Claim && f.Word == relay.Ran:
-		token, acts := h.core.Read(at, holdings.Mark, key, max(f.At-now-markBack, 1))
-		h.claims[token] = f
-		return c.holds(now, acts)
+	case f.Do == relay.Claim && f.Word == relay.Place:
+		token, acts = h.core.Take(at, holdings.Place, key)
 	case f.Do == relay.Claim:
-		token, acts := h.core.Take(at, holdings.Place, key)
+		token, acts = h.core.Read(at, kinds[f.Word], key, max(f.At-now-wordBack, 1))
+	}
+	if f.Do == relay.Claim {
 		h.claims[token] = f
 		return c.holds(now, acts)
 	}
-	r := holdings.Record{Kind: holdings.Place, Key: key, At: f.At + c.off, End: f.At + c.off + placeLate}
-	if f.Word == relay.Ran {
-		r = holdings.Record{Kind: holdings.Mark, Key: key, Version: uint64(max(at, 0)), At: at, End: f.At + c.off,
-			Body: []byte(f.Text)}
+	r := holdings.Record{Kind: kinds[f.Word], Key: key, Version: uint64(max(at, 0)), At: at, Body: []byte(f.Text)}
+	switch f.Word {
+	case relay.Place:
+		r.Version, r.At, r.End = 0, f.At+c.off, f.At+c.off+placeLate
+	case relay.Ran:
+		r.End = f.At + c.off
+	case relay.Stood:
+		r.End = at + stoodFor
+	}
+	token, acts = h.core.Put(at, r, holdWithin)
+	if f.Word == relay.Stood { // nobody waits for a hint
+		h.hints[token] = f
+	} else {
+		h.entrust[token] = entrusted{f.Conn, now}
 	}
-	token, acts := h.core.Put(at, r, holdWithin)
-	h.entrust[token] = entrusted{f.Conn, now}
-	if f.Word == relay.Ran {
-		h.marks[f.Conn] = token
-		h.marked = append(h.marked, marked{f.Conn, f.At})
+	if f.Word != relay.Place {
+		h.given[mine] = token
+		h.ends = append(h.ends, ending{mine, r.End - c.off})
 	}
 	return c.holds(now, acts)
 }
 
+// kinds are what words are held as.
+var kinds = [...]holdings.Kind{relay.Place: holdings.Place, relay.Ran: holdings.Mark, relay.Stood: holdings.Affinity}
+
 // heldFrame takes a datagram of another's holdings; false: it is none.
 func (c *Core) heldFrame(now float64, from string, data []byte) ([]Act, bool) {
 	if c.held == nil || len(data) == 0 || data[0] != holdingFrame {
@@ -210,6 +239,12 @@
 		}
 		return []Act{{Tell: &relay.Event{Kind: relay.Entrusted, Conn: w.conn, Off: !o.OK}}}
 	}
+	if f, there := h.hints[o.Token]; there {
+		if delete(h.hints, o.Token); !o.OK && len(h.again) < mostWants {
+			h.again = append(h.again, f)
+		}
+		return nil
+	}
 	if h.orders[o.Token] {
 		delete(h.orders, o.Token)
 		acts := []Act{{Settled: &Settled{o.Token, o.OK}}}
@@ -248,10 +283,6 @@
 	}
 	if now >= h.viewAt {
 		h.viewAt = now + viewEvery
-		for len(h.marked) > 0 && h.marked[0].end < now {
-			delete(h.marks, h.marked[0].conn)
-			h.marked = h.marked[1:]
-		}
 		own := c.peers.Own()
 		all := []holdings.Member{{Name: own.Name, Zone: own.Zone, Address: own.Address, Life: h.life,
 			Leaves: c.lame}}
@@ -266,7 +297,27 @@
 		twin := c.peers.Twin > 0 && now < c.peers.Twin+twinFor
 		h.core.Mute(!c.read || twin || c.plan.Phase() < recovery.Admitting)
 	}
+	if now >= h.sweepAt {
+		h.sweepAt = now + sweepEvery
+		h.ends = slices.DeleteFunc(h.ends, func(e ending) bool {
+			_, there := h.given[e.given]
+			if there && e.end < now {
+				delete(h.given, e.given)
+			}
+			return !there || e.end < now
+		})
+	}
 	acts := c.orders(now, h.members)
+	if now >= h.againAt {
+		h.againAt = now + hintsEvery
+		n := min(len(h.again), mostHints)
+		for _, f := range h.again[:n] {
+			if _, there := h.given[given{f.Word, f.Conn}]; there { // it stands yet
+				acts = append(acts, c.Trust(now, f)...)
+			}
+		}
+		h.again = append([]relay.Effect(nil), h.again[n:]...)
+	}
 	if h.older {
 		h.older = false
 		acts = append(acts, Act{Note: "the disk is an older one: what it holds for others is put aside"})
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -42,6 +42,7 @@
 	Only                          bool // others are reached by the seeds' addresses alone
 	Voters                        []string
 	Copies                        int     // of what this relay gives its word for; 0: none but its own
+	Stood                         bool    // others hold where clients and groups stand
 	Remember                      float64 // ms, beyond a link's hard limit, that marks of its setup tries are held
 }
 
@@ -148,7 +149,8 @@
 	if r.peers.Copies > 0 {
 		r.wants = make(chan relay.Effect, mostWants)
 		r.poked, r.dueAt = make(chan struct{}, 1), math.Inf(1)
-		for _, a := range r.core.Holds(r.name, own.Life, r.peers.Copies, r.peers.Remember, r.key, chance) {
+		for _, a := range r.core.Holds(r.name, own.Life, r.peers.Copies, r.peers.Remember, r.peers.Stood, r.key,
+			chance) {
 			tell(*a.Tell)
 		}
 		r.goes(r.holds)
--- a/internal/hand/hand.go
+++ b/internal/hand/hand.go
@@ -84,6 +84,8 @@
 	Forgo(key uint64)
 	// Ran takes, before the link is placed, that an earlier one of its client's may have run there and then.
 	Ran(l *logic.Link, id uint32, at float64)
+	// Prefer takes, before the link is placed, where it or its group stood: a hint.
+	Prefer(l *logic.Link, id uint32)
 	Inherit(now float64, r *logic.Record) error
 }
 
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -24,6 +24,7 @@
 	Place    Kind = iota + 1 // of a client that was told to come again; used once, by its key
 	Order                    // an operators' one, by the relay it was given; the highest version holds
 	Mark                     // of a setup try that may run, by its client's key; until its owner knows better
+	Affinity                 // where a group or a client stood, by its number; a hint: the highest version holds
 	lastKind                 // none
 )
 
@@ -31,9 +32,12 @@
 func (k Kind) once() bool { return k == Place }
 
 // latest tells whether the highest version of a key is all that counts of a kind.
-func (k Kind) latest() bool { return k == Order }
+func (k Kind) latest() bool { return k == Order || k == Affinity }
 
-var kindNames = [lastKind]string{"", "places", "orders", "marks"}
+// hint tells whether a kind is never promised: it lies in memory alone, and has a bounded part of that.
+func (k Kind) hint() bool { return k == Affinity }
+
+var kindNames = [lastKind]string{"", "places", "orders", "marks", "affinities"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -78,6 +82,8 @@
 	tellMost    = 100   // records at once: a pace that gives way to all else
 	releaseAt   = 150.0 // after the first time, that it is said again that a record is over
 	ballotTries = 6
+	hintPart    = 4 // one in so many records may be a hint
+	ownerParts  = 4 // even parts of those, that one relay's may come to: against its flood taking all there is
 	used        = "it is used"
 	never       = "it was not promised"
 )
@@ -156,6 +162,8 @@
 	chance  *rand.Rand
 	members []Member
 	records map[uint64]*holding
+	hinted  map[string]int // hints here, by owner
+	hintSum int
 	byKey   map[string][]uint64
 	ends    map[int64][]uint64 // by second
 	hints   map[string]Record  // of others that hold something, by its key
@@ -198,8 +206,8 @@
 // and how many records are held here at the most.
 func New(name string, life uint64, copies, most int, chance *rand.Rand) *Core {
 	return &Core{name: name, life: life, copies: copies, most: most, chance: chance,
-		records: map[uint64]*holding{},
-		byKey:   map[string][]uint64{}, ends: map[int64][]uint64{}, hints: map[string]Record{},
+		records: map[uint64]*holding{}, hinted: map[string]int{},
+		byKey: map[string][]uint64{}, ends: map[int64][]uint64{}, hints: map[string]Record{},
 		out: map[uint64]*errand{}, mine: map[uint64]Record{},
 		due: math.Inf(1)}
 }
@@ -236,6 +244,7 @@
 		acts = append(acts, Act{Save: &Save{Name: nameOf(id)}})
 	}
 	c.records, c.byKey, c.ends = map[uint64]*holding{}, map[string][]uint64{}, map[int64][]uint64{}
+	c.hinted, c.hintSum = map[string]int{}, 0
 	return acts
 }
 
@@ -250,6 +259,10 @@
 	c.byKey[key] = append(c.byKey[key], h.ID)
 	second := int64((h.End + keptPast) / 1000)
 	c.ends[second] = append(c.ends[second], h.ID)
+	if h.Kind.hint() {
+		c.hinted[h.Owner]++
+		c.hintSum++
+	}
 }
 
 func (c *Core) drop(id uint64) {
@@ -258,6 +271,12 @@
 		return
 	}
 	delete(c.records, id)
+	if h.Kind.hint() {
+		c.hintSum--
+		if c.hinted[h.Owner]--; c.hinted[h.Owner] == 0 {
+			delete(c.hinted, h.Owner)
+		}
+	}
 	key := keyOf(h.Kind, h.Key)
 	c.byKey[key] = slices.DeleteFunc(c.byKey[key], func(other uint64) bool { return other == id })
 	if len(c.byKey[key]) == 0 {
@@ -284,7 +303,7 @@
 		c.walks--
 		c.walkAt = now + tellEvery
 		for id, h := range c.records {
-			if h.open() {
+			if h.open() && !h.Kind.hint() {
 				c.walk = append(c.walk, id)
 			}
 		}
@@ -385,14 +404,14 @@
 		c.counts[r.Kind].Refused++
 		return token, []Act{{Done: &Outcome{Token: token, Record: r, Why: why}}}
 	}
-	if r.Kind == Mark {
+	if r.Kind == Mark || r.Kind.hint() {
 		c.mine[token] = r
 	}
 	e := &errand{token: token, step: put, record: r, until: now + within, asked: holders}
 	return token, c.begin(now, e)
 }
 
-// Over tells those who hold the mark that was put by that token that it holds no more, twice, and gives up
+// Over tells those who hold the mark or hint that was put by that token that it holds no more, twice, and gives up
 // having it held where that is still under way.
 func (c *Core) Over(now float64, token uint64) []Act {
 	r, there := c.mine[token]
@@ -537,8 +556,7 @@
 			if h.Kind.once() || h.Kind == Mark {
 				return c.shut(h)
 			}
-			c.drop(h.ID)
-			return []Act{{Save: &Save{Name: nameOf(h.ID)}}}
+			return c.dropped(h)
 		}
 		return nil
 	}
@@ -571,14 +589,32 @@
 	return []Act{{Save: c.saves(h)}}
 }
 
+// dropped has it forgotten.
+func (c *Core) dropped(h *holding) []Act {
+	if c.drop(h.ID); h.Kind.hint() {
+		return nil
+	}
+	return []Act{{Save: &Save{Name: nameOf(h.ID)}}}
+}
+
+// crowded tells whether there is no room for one more hint of that owner. Those that are there stay until
+// they end: against a flood of new ones washing them out.
+func (c *Core) crowded(owner string) bool {
+	room := c.most / hintPart
+	return c.hintSum >= room || c.hinted[owner] >= max(ownerParts*room/max(len(c.members), ownerParts), 1)
+}
+
 // hold takes a record in, where it is meant for this life. One that is there already is not changed: its
 // answer is given again. Of a kind that holds by its version an older one makes room.
 func (c *Core) hold(now float64, from string, r Record, back message) []Act {
 	back.What = held
 	if h := c.records[r.ID]; h != nil {
+		if r.Kind.hint() {
+			return c.answer(now, from, back, nil)
+		}
 		return c.answer(now, from, back, c.saves(h)) // the first may not be durable yet
 	}
-	if back.What = refuse; len(c.records) >= c.most {
+	if back.What = refuse; len(c.records) >= c.most || (r.Kind.hint() && c.crowded(r.Owner) && len(c.byKey[keyOf(r.Kind, r.Key)]) == 0) {
 		c.counts[r.Kind].Full++
 		return c.answer(now, from, back, nil)
 	}
@@ -590,14 +626,16 @@
 	var acts []Act
 	if r.Kind.latest() {
 		for _, id := range slices.Clone(c.byKey[keyOf(r.Kind, r.Key)]) {
-			if c.records[id].Version <= r.Version {
-				c.drop(id)
-				acts = append(acts, Act{Save: &Save{Name: nameOf(id)}})
+			if was := c.records[id]; was.Version <= r.Version {
+				acts = append(acts, c.dropped(was)...)
 			}
 		}
 	}
 	c.add(h)
 	c.counts[r.Kind].Held++
+	if r.Kind.hint() {
+		return c.answer(now, from, back, nil)
+	}
 	return append(c.answer(now, from, back, c.saves(h)), acts...) // the older one goes once the newer is there
 }
 
@@ -737,7 +775,7 @@
 	case best == nil:
 		return c.done(e, false, "nobody holds it")
 	case !best.Kind.once():
-		if !all {
+		if !all && !best.Kind.hint() {
 			return nil // a later one may be at those who have not answered: at the errand's end this is what there is
 		}
 		e.record = *best
@@ -856,9 +894,8 @@
 	}
 	for ; c.swept < second; c.swept++ {
 		for _, id := range c.ends[c.swept] {
-			if c.records[id] != nil {
-				c.drop(id)
-				acts = append(acts, Act{Save: &Save{Name: nameOf(id)}})
+			if h := c.records[id]; h != nil {
+				acts = append(acts, c.dropped(h)...)
 			}
 		}
 		delete(c.ends, c.swept)
@@ -877,9 +914,9 @@
 }
 
 // fails gives a promise up. Its holders are told to forget it: nobody was told of it. A mark is true without
-// a promise, and stays where it is.
+// a promise, and stays where it is; so does a hint.
 func (c *Core) fails(e *errand, why string) (acts []Act) {
-	if e.record.Kind == Mark {
+	if e.record.Kind == Mark || e.record.Kind.hint() {
 		return c.done(e, false, why)
 	}
 	text := (&message{What: dropped, Token: e.token, From: c.name, Life: c.life,
--- a/internal/holdings/holdings_test.go
+++ b/internal/holdings/holdings_test.go
@@ -645,6 +645,53 @@
 	}
 }
 
+// Hints lie in memory, the latest is found at any relay, and a flood neither washes them out nor takes more
+// than one owner's part, nor room from what is promised.
+func TestHints(t *testing.T) {
+	w := newWorld(t, 9, 3, 3, 1, Faults{})
+	hint := func(i int, key, where string) uint64 {
+		token, acts := w.nodes[i].Put(w.now, Record{Kind: Affinity, Key: key, Version: uint64(w.now), At: w.now,
+			End: w.now + 60000, Body: []byte(where)}, 50)
+		w.do(i, acts)
+		return token
+	}
+	for _, n := range w.nodes {
+		n.most = 72 // so 18 hints, 8 of one owner
+	}
+	hint(0, "k", "s1")
+	w.run(w.now + 60)
+	token := hint(1, "k", "s2")
+	w.run(w.now + 60)
+	for i := range 200 {
+		hint(2, fmt.Sprint("flood", i), "s")
+		w.run(w.now + 2)
+	}
+	w.run(w.now + 60)
+	for i, n := range w.nodes {
+		assert.LessOrEqual(t, n.hinted["n2"], 8, "relay %d", i)
+		assert.Equal(t, len(n.records), n.hintSum, "relay %d", i)
+		assert.Empty(t, n.disk, "relay %d", i)
+	}
+	seek := func() string {
+		x := &word{pending: map[uint64]float64{}}
+		w.words["sought"] = x
+		token, acts := w.nodes[5].Read(w.now, Affinity, "k", 8)
+		w.takenBy[token] = "sought"
+		w.do(5, acts)
+		w.run(w.now + 20)
+		return string(x.record.Body)
+	}
+	assert.Equal(t, "s2", seek())
+	w.do(1, w.nodes[1].Over(w.now, token))
+	w.run(w.now + 20)
+	assert.Empty(t, seek())
+	w.run(w.now + 60000 + keptPast + 2000)
+	for i, n := range w.nodes {
+		assert.Empty(t, n.records, "relay %d", i)
+		assert.Zero(t, n.hintSum+len(n.hinted), "relay %d", i)
+	}
+}
+
 // Who comes too early has its place when it comes again, and who comes after its end has none.
 func TestPlaceIsForItsTime(t *testing.T) {
 	w := newWorld(t, 9, 3, 3, 1, Faults{})
--- a/internal/lab/audit/audit.go
+++ b/internal/lab/audit/audit.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Rule is what can be broken.
@@ -65,8 +66,9 @@
 
 // errand is all that a client asks for until it is answered UP: one effect is meant.
 type errand struct {
-	took int
-	last float64 // when it was asked for
+	took   int
+	client *string // the server where its client stood last; empty: nowhere
+	last   float64 // when it was asked for
 }
 
 type try struct {
@@ -96,6 +98,7 @@
 	window   float64
 	links    map[string]*link
 	errands  map[string]*errand
+	stood    map[string]*string
 	lives    map[int]int
 	died     map[int]float64
 	told     map[int]map[string]told
@@ -112,13 +115,15 @@
 	Tries    int
 	Lines    int
 	Repeated int // single-use effects begun again by a client's further try: no rule, but what marks are for
+	Returns  int // clients whose link was over before they were, and that stand again
+	There    int // of those, at the server where they stood
 	Turned   int // clients that a relay did not let in while it was replaced
 }
 
 // New takes how much later than it was said a thing may be seen, and the multiple of its present capacity
 // that a cold server may be sent within the window.
 func New(slack, multiple, window float64) *Auditor {
-	return &Auditor{slack: slack, multiple: multiple, window: window, links: map[string]*link{}, errands: map[string]*errand{},
+	return &Auditor{slack: slack, multiple: multiple, window: window, links: map[string]*link{}, errands: map[string]*errand{}, stood: map[string]*string{},
 		lives: map[int]int{}, died: map[int]float64{}, told: map[int]map[string]told{}, dark: map[string]bool{},
 		frozen: map[int]bool{}, lit: map[string]float64{},
 		pushes: map[string][]push{}, started: map[string]float64{}, pushedAt: map[string]float64{}}
@@ -153,7 +158,11 @@
 		a.breaks(FinalAnswer, now, id, "a client used one id twice: the lab is at fault")
 	}
 	if a.errands[name] == nil {
-		a.errands[name] = &errand{}
+		client, _, _ := strings.Cut(name, "/")
+		if a.stood[client] == nil {
+			a.stood[client] = new(string)
+		}
+		a.errands[name] = &errand{client: a.stood[client]}
 	}
 	a.errands[name].last = now
 	a.links[id] = &link{relay: relay, life: a.lives[relay], effect: effect, errand: a.errands[name], asked: now,
@@ -310,6 +319,12 @@
 	if l.took++; l.took > 1 && l.effect == "single-use" {
 		a.breaks(Twice, now, id, "single-use, and done again on %s", server)
 	}
+	if at := l.errand.client; *at != "" && l.errand.took == 0 {
+		if a.Returns++; *at == server {
+			a.There++
+		}
+	}
+	*l.errand.client = server
 	if l.errand.took++; l.errand.took > 1 && l.took == 1 && l.effect == "single-use" {
 		a.Repeated++
 	}
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -315,6 +315,9 @@
 // Ran changes nothing: no policy here hears of others' tries.
 func (m *Module) Ran(*logic.Link, uint32, float64) {}
 
+// Prefer changes nothing either.
+func (m *Module) Prefer(*logic.Link, uint32) {}
+
 // Forgo changes nothing.
 func (m *Module) Forgo(uint64) {}
 
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -62,6 +62,7 @@
 	Council     int  `toml:"council"`    // voters that decide on zones, on the first machines; 0: none
 	Holdings    int  `toml:"holdings"`   // machines that what a relay tells a client lies on; 0: its own alone
 	Remember    Span `toml:"remember"`   // beyond a link's hard limit, that marks of its tries are held; 0: none are
+	Stood       bool `toml:"stood"`      // whether others hold where clients and groups stand
 	Known       bool `toml:"known"`      // whether the platform gives a relay the list as it last had it
 }
 
@@ -308,6 +309,9 @@
 	if m := x.Relays.Remember; m < 0 || m > 60000 || (m > 0 && x.Relays.Holdings == 0) {
 		return fmt.Errorf("relays.remember: 0 to 60 s, and relays.holdings, expected, got %.0f ms", float64(m))
 	}
+	if x.Relays.Stood && x.Relays.Holdings == 0 {
+		return fmt.Errorf("relays.stood: relays.holdings expected beside it, got nothing")
+	}
 	clients := 0.0
 	for i := range x.Traffic {
 		t := &x.Traffic[i]
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -128,6 +128,11 @@
 	}
 	if x.Relays.Peers && x.Relays.Disk && chance.Intn(2) == 0 { // last, so that seeds draw the rest as before
 		x.Relays.Holdings = 1 + 2*chance.Intn(3)
+		if chance.Intn(3) > 0 { // and mark tries that may run
+			x.Relays.Remember = span(1000, 20000)
+			x.Faults = append(x.Faults, experiment.Fault{Kind: "answers-lost", At: span(500, float64(x.Length)-1000),
+				For: min(span(500, 10000), x.Length), Share: between(0.2, 1), Factor: between(0.1, 1)})
+		}
 	}
 	if err := x.Complete(); err != nil {
 		panic(fmt.Sprintf("seed %d: %v", seed, err)) // the drawing is wrong
@@ -147,6 +152,8 @@
 	x.Relays.Council = min(x.Relays.Council, x.Relays.Count-(x.Relays.Count+1)%2)
 	if seed%2 == 0 {
 		x.Relays.Holdings = 3
+	} else {
+		x.Relays.Holdings, x.Relays.Remember = 0, 0
 	}
 	x.Relays.Probes, x.Fleet.SetupWork = true, min(x.Fleet.SetupWork, 10)
 	for i := range x.Traffic {
--- a/internal/lab/live/machines_test.go
+++ b/internal/lab/live/machines_test.go
@@ -163,18 +163,19 @@
 	for _, c := range []struct {
 		name, faults string
 		repeated     float64 // of the tries that meet a mark, the most that are begun again
+		stood        bool    // clients of lost relays return to the servers where they stood
 	}{
-		{"nothing more", "", 0.1},
+		{"nothing more", "", 0.1, false},
 		{"a machine lost with its disk, and another", fault("relay-kill", "7s", "share = 0.12\ndisk = \"wiped\"") +
-			fault("relay-kill", "9s", "share = 0.12\ndisk = \"wiped\""), 0.15},
+			fault("relay-kill", "9s", "share = 0.12\ndisk = \"wiped\""), 0.15, true},
 		{"some sleep, a third of all words is lost", fault("relay-freeze", "8s", "for = \"700ms\"\nshare = 0.2") +
-			fault("way-loss", "6s", "for = \"8s\"\nfactor = 0.33\nfrom = \"relays\"\nto = \"relays\""), 0.25},
+			fault("way-loss", "6s", "for = \"8s\"\nfactor = 0.33\nfrom = \"relays\"\nto = \"relays\""), 0.25, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			side <- struct{}{}
 			defer func() { <-side }()
-			text := strings.NewReplacer("HONOURED", "0.9", "disk = true", "disk = true\nholdings = 3\nremember = \"20s\"",
+			text := strings.NewReplacer("HONOURED", "0.9", "disk = true", "disk = true\nholdings = 3\nremember = \"20s\"\nstood = true",
 				"rate = 4", "rate = 12").Replace(nine) +
 				fault("answers-lost", "5s", "for = \"10s\"\nshare = 1.0\nfactor = 0.5") + c.faults
 			r := played(t, binary, text)
@@ -182,6 +183,11 @@
 				return
 			}
 			assert.Zero(t, r.Audit.Broken(), "%v", r.Audit.Breaks)
+			if c.stood {
+				t.Logf("returned to where they stood %d of %d", r.Audit.There, r.Audit.Returns)
+				assert.Greater(t, r.Audit.Returns, 5)
+				assert.GreaterOrEqual(t, float64(r.Audit.There), 0.6*float64(r.Audit.Returns))
+			}
 			met := 0
 			for _, text := range r.Fleet {
 				var s fleet.Status
--- a/internal/lab/live/mates.go
+++ b/internal/lab/live/mates.go
@@ -62,8 +62,8 @@
 			text += fmt.Sprintf("[council]\nvoters = [%s]\n", strings.Join(voters[i], ", "))
 		}
 		if x.Relays.Holdings > 0 {
-			text += fmt.Sprintf("[holdings]\ncopies = %d\nremember = \"%.0fms\"\n", x.Relays.Holdings,
-				float64(x.Relays.Remember))
+			text += fmt.Sprintf("[holdings]\ncopies = %d\nremember = \"%.0fms\"\nstood = %t\n", x.Relays.Holdings,
+				float64(x.Relays.Remember), x.Relays.Stood)
 		}
 		if x.Relays.Disk {
 			p.disk = filepath.Join(r.dir, fmt.Sprintf("disk-%d", i))
--- a/internal/lab/sim/holdings_test.go
+++ b/internal/lab/sim/holdings_test.go
@@ -99,3 +99,35 @@
 		})
 	}
 }
+
+// Clients whose relay is lost with its disk return to the servers where they stood, as others know of them;
+// without, by chance.
+func TestClientsReturnWhereTheyStood(t *testing.T) {
+	loss := fault("relay-kill", "12s", "share = 0.34\ndisk = \"wiped\"")
+	with := strings.NewReplacer("disk = true", "disk = true\nholdings = 3\nstood = true", `length = "34s"`,
+		`length = "20s"`).Replace(machines)
+	for name, c := range map[string]struct {
+		text        string
+		least, most float64 // of those that return, that do so to where they stood
+	}{
+		"nothing is held": {strings.Replace(machines, `length = "34s"`, `length = "20s"`, 1) + loss, 0, 0.3},
+		"hints":           {with + loss, 0.95, 1},
+		"a third of what relays say is lost": {with + loss + fault("way-loss", "4s",
+			"for = \"16s\"\nfactor = 0.33\nfrom = \"relays\"\nto = \"relays\""), 0.85, 1},
+		"a third of the servers drain": {with + loss + fault("drain", "11900ms", "for = \"8s\"\nshare = 0.34"), 0.2, 0.8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := New(parse(t, c.text), "module", nil)
+			r, err := s.Run()
+			require.NoError(t, err)
+			assert.Zero(t, r.Audit.Broken(), "%v", r.Audit.Breaks)
+			assert.Zero(t, r.Fallen, "servers pushed over")
+			share := float64(r.Audit.There) / float64(r.Audit.Returns)
+			t.Logf("%d of %d, service %.4f", r.Audit.There, r.Audit.Returns, r.Tally.Service(12000, 20000))
+			assert.Greater(t, r.Audit.Returns, 60)
+			assert.GreaterOrEqual(t, share, c.least)
+			assert.LessOrEqual(t, share, c.most)
+		})
+	}
+}
--- a/internal/lab/sim/mates.go
+++ b/internal/lab/sim/mates.go
@@ -76,7 +76,8 @@
 	p.mates = m
 	p.take(relay.Event{Kind: relay.Restarted})
 	if x.Relays.Holdings > 0 {
-		m.do(m.core.Holds(own.Name, own.Life, x.Relays.Holdings, float64(x.Relays.Remember), fleetKey, chance))
+		m.do(m.core.Holds(own.Name, own.Life, x.Relays.Holdings, float64(x.Relays.Remember), x.Relays.Stood,
+			fleetKey, chance))
 	}
 	if x.Relays.Disk {
 		wait := readTime
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -14,6 +14,7 @@
 	Satisfied, Rejected, Errored, Unwanted, Pushed uint64 // answered: UP, BUSY, ERR; client gone first; MOVE
 	Entrusted, Alone                               uint64 // BUSY that other relays hold as well; or that they should
 	Marked, Unmarked, Repeats                      uint64 // heads sent with a mark and without; further tries marked
+	Returned                                       uint64 // clients of whom others knew where they stood
 	Pieces, Lines                                  uint64 // of what standing clients said; passed to them
 	Endings                                        [len(endingNames)]uint64
 	Open, Standing, Most                           int // now, now, and the most sockets at once
@@ -31,7 +32,7 @@
 		slog.Group("answered", "satisfied", c.Satisfied, "rejected", c.Rejected, "errored", c.Errored,
 			"unwanted", c.Unwanted, "moved", c.Pushed,
 			"entrusted", c.Entrusted, "alone", c.Alone,
-			"marked", c.Marked, "unmarked", c.Unmarked, "repeats", c.Repeats),
+			"marked", c.Marked, "unmarked", c.Unmarked, "repeats", c.Repeats, "returned", c.Returned),
 		slog.Group("endings", endings...),
 		slog.Group("bad clients", bad...),
 		slog.Group("sockets", "open", c.Open, "standing", c.Standing, "most", c.Most))
--- a/internal/relay/entrust.go
+++ b/internal/relay/entrust.go
@@ -12,6 +12,7 @@
 const (
 	Place Word = iota // a client was told to come at At
 	Ran               // a setup try of a client's may run at the backend Text: until At, or as it went out at At
+	Stood             // a client, or its group, stands at the backend Text: a hint
 )
 
 const (
@@ -129,31 +130,80 @@
 	}
 }
 
-// asks seeks a mark of a former try, where the client says that there was one; false: nothing is waited for.
+// stood has others hold where the link stands, for when this relay is lost.
+func (r *Reducer) stood(l *link) {
+	if r.standsHeld && (l.Group != 0 || l.Key != 0) {
+		l.stood = l.server.conn
+		r.do(Effect{Do: Entrust, Word: Stood, Conn: l.stood, Key: stoodKey(l), Text: l.server.backend.Name})
+	}
+}
+
+// stoodKey is the group's number, or the client's, told apart.
+func stoodKey(l *link) uint64 {
+	if l.Group != 0 {
+		return l.Group
+	}
+	return ^l.Key
+}
+
+// leavesFor takes that back where the client has ended the link itself: it is not to come again. A group may
+// have others there.
+func (r *Reducer) leavesFor(l *link, how Ending) {
+	if l.stood != 0 && l.Group == 0 && (how == ClientDone || how == ServedOut) {
+		r.do(Effect{Do: Release, Word: Stood, Conn: l.stood, Key: stoodKey(l)})
+	}
+}
+
+// asks seeks a mark of a former try, where the client says that there was one, and where it or its group
+// stood; false: nothing is waited for.
 func (r *Reducer) asks(l *link) bool {
-	if !l.head.Again || !r.marking(l) {
+	if !l.head.Again || !r.holds {
+		return false
+	}
+	conn, wait := l.client.conn, 0.0
+	ask := func(word Word, key uint64, longest float64) {
+		wait = max(wait, min(longest, (l.Limit-r.now)*askedPart))
+		l.awaits++
+		r.do(Effect{Do: Claim, Word: word, Conn: conn, Key: key, At: r.now + wait})
+	}
+	if r.standsHeld && (l.Group != 0 || l.Key != 0) {
+		ask(Stood, stoodKey(l), entrustTime)
+	}
+	if r.marking(l) {
+		ask(Ran, l.Key, askedTime)
+	}
+	if l.awaits == 0 {
 		return false
 	}
 	l.stage = asking
-	conn := l.client.conn
-	l.quiet.fire = func() { r.goesOn(l, Event{Off: true}) }
-	until := r.now + min(askedTime, (l.Limit-r.now)*askedPart)
-	r.arm(&l.quiet, until)
-	r.do(Effect{Do: Claim, Word: Ran, Conn: conn, Key: l.Key, At: until})
+	l.quiet.fire = func() { r.place(l) }
+	r.arm(&l.quiet, r.now+wait)
 	return true
 }
 
-// goesOn has the link placed, by what was said of its client's former try.
+// goesOn takes what was said of the link's client, and has it placed once there is nothing more to wait for.
 func (r *Reducer) goesOn(l *link, e Event) {
-	r.disarm(&l.quiet)
-	l.stage = placing
-	if !e.Off {
+	b := r.backends[e.Text]
+	switch {
+	case e.Off:
+	case e.Word == Ran:
 		r.Repeats++
 		id := uint32(0) // of no server that is known: then the scope of a referenced link isn't either
-		if b := r.backends[e.Text]; b != nil {
+		if b != nil {
 			id = b.id
 		}
 		r.table.Balancer.Ran(&l.Link.Link, id, e.At)
+	case b != nil:
+		r.Returned++
+		r.table.Balancer.Prefer(&l.Link.Link, b.id)
+	}
+	if l.awaits--; l.awaits <= 0 {
+		r.place(l)
 	}
+}
+
+func (r *Reducer) place(l *link) {
+	r.disarm(&l.quiet)
+	l.stage, l.awaits = placing, 0
 	r.table.Place(r.now, l)
 }
--- a/internal/relay/entrust_test.go
+++ b/internal/relay/entrust_test.go
@@ -98,3 +98,36 @@
 		}
 	}
 }
+
+// Where a client stands is told to others, and taken back as it ends; one that returns goes there, if others
+// say so within 8 ms.
+func TestWhereClientsStand(t *testing.T) {
+	const back = "came 1 OPEN a 1f c=feed,d=2000,again=1|"
+	asks := []step{{1000, "open 1", ""}, {1001, back, "claim 1"}}
+	stands := func(change string, last step) []step {
+		return []step{{1000, "open 1", ""}, {1001, "came 1 OPEN a 1f c=feed,d=2000" + change + "|", "dial s1 10.0.0.1:9000"},
+			{1002, "up s1", "write s1 OPEN a 1f c=feed,d=1989" + change + "|"},
+			{1003, "came s1 UP r|", "entrust s1 b1; write 1 UP r|"}, last}
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"it ends by itself", stands("", step{2000, "end 1", "end 1; release s1; end s1"})},
+		{"it breaks", stands("", step{2000, "reset 1", "end 1; break s1"})},
+		{"of a group", stands(",g=2a", step{2000, "end 1", "end 1; end s1"})},
+		{"it returns there", append(asks[:2:2], step{1003, "stood 1 b2", "dial s1 10.0.0.2:9000"})},
+		{"nobody knows", append(asks[:2:2], step{1003, "stands 1", "dial s1 10.0.0.1:9000"})},
+		{"nobody says so in time", append(asks[:2:2], step{1009, "tick", "dial s1 10.0.0.1:9000"}, step{1010, "stood 1 b2", ""})},
+		{"at a server that is not known", append(asks[:2:2], step{1003, "stood 1 b9", "dial s1 10.0.0.1:9000"})},
+		{"a mark as well", []step{{1000, "open 1", ""}, {1001, "came 1 OPEN a 1f c=order,d=2000,again=1|", "claim 1; claim 1"},
+			{1002, "stood 1 b2", ""}, {1004, "none 1", "dial s1 10.0.0.2:9000; entrust s1 b2"}}},
+		{"a mark alone is told in time", []step{{1000, "open 1", ""},
+			{1001, "came 1 OPEN a 1f c=order,d=2000,again=1|", "claim 1; claim 1"}, {1002, "ran 1 b1", ""},
+			{1051, "tick", "write 1 ERR|; end 1"}}},
+	} {
+		s := open(t, nil, 0, "b1=active", "b2=active")
+		s.at(10, "holds stood")
+		s.play(c.name, c.steps...)
+	}
+}
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -47,7 +47,7 @@
 	Recovers               // the whole fleet lost power and recovers, or (Off) has recovered
 	Clocked                // this relay's clock is Ahead of what the fleet takes for right
 	Directed               // a decision in common has links meant for zones: Toward, or none
-	Holds                  // other relays hold what this one gives its Word for: marks for At beyond a hard limit
+	Holds                  // other relays hold what this one gives its Word for: marks for At beyond a hard limit; Stood
 	Entrusted              // they hold the Word of Conn, or (Off) they don't
 	Claimed                // what they held: the Word on Key, for Conn; Off: nothing
 	Beyond                 // others placed the load Placed, which figures may not hold yet; below 0: not known
@@ -77,6 +77,7 @@
 	Placed float64 // Beyond
 	Toward []Toward
 	Word   Word    // Entrusted, Claimed
+	Stood  bool    // Holds: where clients and groups stand, too
 	Key    uint64  // Claimed
 	At     float64 // Claimed, Holds
 }
@@ -203,6 +204,8 @@
 	head   lines.Head
 	giveUp float64
 	mark   uint64  // of a setup try that others hold, or are asked to: its connection; 0: none
+	stood  uint64  // where it stands is held by others, or they are asked to: its connection; 0: not
+	awaits int     // words that it waits for
 	heldBy float64 // clock time until which its head waits for that; 0: it does not
 	last   Ending  // what the backend said of the end to come
 	ending bool    // it said so
@@ -267,6 +270,7 @@
 	heardAt    float64 // from it, last
 	recovering bool
 	holds      bool
+	standsHeld bool
 	remember   float64 // beyond a link's hard limit, that others hold a mark; 0: none
 	lasting    []bool  // by category: what a setup try does may not simply be done again
 	ahead      float64 // of the fleet's clock, ms
@@ -403,7 +407,7 @@
 	case Directed:
 		r.directed(e.Toward)
 	case Holds:
-		r.holds, r.remember = true, e.At
+		r.holds, r.remember, r.standsHeld = true, e.At, e.Stood
 	case Entrusted:
 		r.entrusted(e.Conn, !e.Off)
 	case Claimed:
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -127,13 +127,17 @@
 	case "confided":
 		e = Event{Kind: Confided, News: &News{Whole: true, Entries: entries(strings.Fields(event)[1:])}}
 	case "holds":
-		e = Event{Kind: Holds, At: 10000}
+		e = Event{Kind: Holds, At: 10000, Stood: len(word) > 1}
 	case "held", "unheld":
 		e = Event{Kind: Entrusted, Conn: s.conn(word[1]), Off: word[0] == "unheld"}
 	case "ran":
 		e = Event{Kind: Claimed, Word: Ran, Conn: s.conn(word[1]), Text: word[2], At: now - 500}
 	case "none":
 		e = Event{Kind: Claimed, Word: Ran, Conn: s.conn(word[1]), Off: true}
+	case "stood":
+		e = Event{Kind: Claimed, Word: Stood, Conn: s.conn(word[1]), Text: word[2]}
+	case "stands":
+		e = Event{Kind: Claimed, Word: Stood, Conn: s.conn(word[1]), Off: true}
 	case "recovers":
 		e = Event{Kind: Recovers, Part: 0.5}
 	case "stop":
--- a/internal/relay/standing.go
+++ b/internal/relay/standing.go
@@ -64,6 +64,7 @@
 		r.Satisfied++
 		r.table.Balancer.Accepted(r.now, &l.Link.Link)
 		r.unmarks(l)
+		r.stood(l)
 	}
 	r.answers[l.Category].served++
 	r.write(l.client, line)
@@ -157,6 +158,7 @@
 func (r *Reducer) finish(l *link, how Ending, both Do) {
 	r.Endings[how]++
 	r.Standing--
+	r.leavesFor(l, how)
 	b := l.server.backend
 	b.links = slices.DeleteFunc(b.links, func(other *link) bool { return other == l })
 	r.leaveHand(l)
@@ -293,7 +295,7 @@
 			r.entrusted(c.conn, false)
 		case asking:
 			l.Limit = r.now
-			r.goesOn(l, Event{Off: true})
+			r.place(l)
 		case placing:
 			l.Limit = r.now
 			r.table.Place(r.now, l)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -501,6 +501,10 @@
 	if chosen() {
 		return l.cold, false
 	}
+	// The one departure from turns for a link that returns: its server, or its group's, if that has room.
+	if s := l.prefers - 1; s >= 0 && l.tries == 0 && b.turns.counts[s] > 0 && fits(s, bound) {
+		return s, false
+	}
 	for i, limit := range bounds {
 		if i == 0 && b.crossing <= 0 && aim < 0 {
 			continue // nothing is paid for crossing, so the own zone goes not before: the table need not be walked
--- a/logic/recovery_test.go
+++ b/logic/recovery_test.go
@@ -175,3 +175,78 @@
 	cold, _ = b.Warmth(now)
 	assert.Equal(t, 1, cold)
 }
+
+// A link that returns goes to the server where it stood: at its first try only, and never against a drain, a
+// cold start, a full server, one that does not answer, or a decision on zones.
+func TestPrefer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(b *Balancer)
+		there  bool
+	}{
+		{"as it is", func(*Balancer) {}, true},
+		{"it drains", func(b *Balancer) { b.Listed(3, 0, Draining, 0, 0, 1) }, false},
+		{"it is gone", func(b *Balancer) { b.Listed(3, 0, Gone, 0, 0, 1) }, false},
+		{"it has just started", func(b *Balancer) { b.Listed(3, 0, Ready, 0, start-1, 1) }, false},
+		{"it is full", func(b *Balancer) { b.Probed(start, 3, true, []float64{0, 1.2}) }, false},
+		{"it does not answer", func(b *Balancer) { b.Probed(start, 3, false, nil); b.Probed(start, 3, false, nil) }, false},
+		{"its zone is emptied", func(b *Balancer) { b.Direct([]Direction{{0, 0, false}, {1, 1, true}}) }, false},
+	} {
+		there := 0
+		for seed := range int64(20) {
+			b := fleet{Loads: []float64{0.2, 0.1, 0.3, 0.1}, Seed: seed}.build(t)
+			c.change(b)
+			l := arrive(start)
+			b.Prefer(l, 3)
+			a := b.Place(start, l)
+			if a.Backend == 3 {
+				there++
+			}
+			if c.there {
+				a = b.After(start, l, TurnedAway, false)
+				assert.NotEqual(t, uint32(3), a.Backend, "not again where it was turned away")
+			}
+		}
+		want := 0
+		if c.there {
+			want = 20
+		}
+		assert.Equal(t, want, there, c.name)
+	}
+}
+
+// An earlier try of the client's that may have run counts as the link's own: a single-use link is not run
+// again, nor its client told that trying again is harmless; a referenced one goes where, and as long as, its
+// repeat is dropped.
+func TestRan(t *testing.T) {
+	for _, c := range []struct {
+		effect  Effect
+		scope   Scope
+		id      uint32
+		ago     float64
+		verdict Verdict
+	}{
+		{Replayable, ScopeAll, 1, 100, Send},
+		{SingleUse, ScopeAll, 1, 100, Fail},
+		{SingleUse, ScopeAll, 99, 100, Fail},
+		{Referenced, ScopeAll, 1, 100, Send},
+		{Referenced, ScopeAll, 99, 100, Send},
+		{Referenced, ScopeZone, 1, 100, Send},
+		{Referenced, ScopeZone, 99, 100, Fail}, // whose zone is not known
+		{Referenced, ScopeAll, 1, 1e6, Fail},   // longer than repeats are remembered
+	} {
+		b := fleet{Loads: []float64{0.1, 0.1, 0.1, 0.1}, Seed: 3}.build(t)
+		cat := &b.effects.categories[0]
+		cat.Effect, cat.Scope, cat.RepeatWindow = c.effect, c.scope, 5000
+		l := arrive(start)
+		b.Ran(l, c.id, start-c.ago)
+		a := b.Place(start, l)
+		for now := start; a.Verdict == Hold && now < l.Limit+100; now += 50 {
+			a = b.Place(now, l)
+		}
+		assert.Equal(t, c.verdict, a.Verdict, "%+v", c)
+		if c.scope == ScopeZone && a.Verdict == Send {
+			assert.Equal(t, uint32(1), a.Backend%2, "%+v", c)
+		}
+	}
+}
--- a/logic/types.go
+++ b/logic/types.go
@@ -86,6 +86,7 @@
 	gone      bool
 
 	lot     uint64  // its own mark, where no group or key draws it
+	prefers int     // index of the server where it stood before, and one more; 0: not known
 	cold    int     // the cold server that it may go to, or -1
 	spare   bool    // only where no warm one has room
 	grant   float64 // time of the budget of cold servers that its cold server took
