--- a/cmd/valeshift/main.go
+++ b/cmd/valeshift/main.go
@@ -36,9 +36,15 @@
 	// Before all else: against a signal that comes early ending the program.
 	signals := signals{on(syscall.SIGTERM, os.Interrupt), on(syscall.SIGUSR1), on(syscall.SIGHUP)}
 	var l line
-	asked := kong.Parse(&l, kong.Name("valeshift"), kong.UsageOnError(),
-		kong.Description("A balancer for long-lived connections. RELAY_CONFIG names the platform's file."))
-	if err := asked.Run(&l, signals); err != nil {
+	run := func() error { return runCommand{}.Run(&l, signals) }
+	if len(os.Args) > 1 {
+		asked := kong.Parse(&l, kong.Name("valeshift"), kong.UsageOnError(),
+			kong.Description("A balancer for long-lived connections. RELAY_CONFIG names the platform's file."))
+		run = func() error { return asked.Run(&l, signals) }
+	} else { // as the platform starts it: what commands there are costs such a start nothing
+		l.Operator = os.Getenv("VALESHIFT_OPERATOR")
+	}
+	if err := run(); err != nil {
 		os.Exit(1)
 	}
 }
