Hints told anew keep one end; what is held is looked over once, and only where it is much

Found on a last read: a hint that others did not hold is told anew every two seconds, and each time noted another end, so that a fleet with fewer relays than copies kept growing a list for as long as its links stood. And each tick looked over a part of what is held also where the operators' call does so itself, with the members' names gathered 64 times a call.

Change: one end for each word that may be taken back; the rolling look begins above 4,096 records; names are gathered once a call. What is told and held stays as it was.

--- a/internal/fleet/holdings.go
+++ b/internal/fleet/holdings.go
@@ -186,8 +186,10 @@
 		h.entrust[token] = entrusted{f.Conn, now}
 	}
 	if f.Word != relay.Place {
+		if _, again := h.given[mine]; !again { // a hint that is told anew ends no sooner for it
+			h.ends = append(h.ends, ending{mine, r.End - c.off})
+		}
 		h.given[mine] = token
-		h.ends = append(h.ends, ending{mine, r.End - c.off})
 	}
 	return c.holds(now, acts)
 }
--- a/internal/holdings/holdings.go
+++ b/internal/holdings/holdings.go
@@ -958,10 +958,10 @@
 			}
 		}
 	}
-	if now >= c.lookAt {
+	if now >= c.lookAt && len(c.records) > few { // up to which Status looks itself
 		c.lookAt = now + lookEvery
 		c.look = (c.look + 1) % Parts
-		c.looks(now, c.look)
+		c.looks(now, c.look, c.there())
 	}
 	return append(acts, c.points(now)...)
 }
@@ -1011,12 +1011,17 @@
 	Short int // no more than half are: it can't be used, or read for certain, until more are
 }
 
-// looks takes a look over one part of what is held.
-func (c *Core) looks(now float64, part int) {
+// there are the members, by name.
+func (c *Core) there() map[string]bool {
 	there := make(map[string]bool, len(c.members))
 	for _, m := range c.members {
 		there[m.Name] = true
 	}
+	return there
+}
+
+// looks takes a look over one part of what is held.
+func (c *Core) looks(now float64, part int, there map[string]bool) {
 	c.looked[part] = [lastKind]Standing{}
 	for _, h := range c.parts[part] {
 		if !h.open() || h.End <= now {
@@ -1045,8 +1050,9 @@
 func (c *Core) Status(now float64) (standing map[string]Standing, counts map[string]Counts) {
 	standing, counts = map[string]Standing{}, map[string]Counts{}
 	if len(c.records) <= few {
+		there := c.there()
 		for part := range Parts {
-			c.looks(now, part)
+			c.looks(now, part, there)
 		}
 	}
 	for k := Place; k < lastKind; k++ {
--- a/internal/holdings/holdings_test.go
+++ b/internal/holdings/holdings_test.go
@@ -968,7 +968,7 @@
 		c.Page(now, 7)
 		b.ReportMetric(float64(time.Since(began).Microseconds())/1000, "ms/page")
 		began = time.Now()
-		c.looks(now, 7)
+		c.looks(now, 7, c.there())
 		b.ReportMetric(float64(time.Since(began).Microseconds())/1000, "ms/look")
 		began = time.Now()
 		c.Tick(now + 1)
