List: retries bounded, silent watches reopened at once, lists of any layout

At fault: logic.go ListFailed, whose back-off grows to 6.4 s, times 1 + R/32, times 1.5 (19 s at 32 relays); backends.go watchQuiet, by which a watch that fell silent waits for that as well; renewBeat, which gives up calls that wait for their turn after 1.2 s; discovery.go follow, which reads one object a line, so that an indented list ends the watch each time.

Change: the mean wait is 1 s at the most; a watch that has brought something and falls silent for 2.8 s is opened anew at once; a call has 3.3 s for its first line and 1 s to connect; internal/jsonstream splits a stream into objects and blank lines in any layout (fuzzed; brackets that do not match end it at once).

Tests: TestWatch expects the new watch at 4.8 s where it was a failure at 5.5 s, TestReload the second call at 3.86 s in place of 1.76 s (a discovery that works through its calls loses those that are given up; both are within the 4 s), and TestLameDuck hears the watch once more, as that falls silent sooner now.

--- /dev/null
+++ b/internal/jsonstream/jsonstream_test.go
@@ -0,0 +1,83 @@
+package jsonstream
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// read gives what the stream holds, blank lines as empty texts.
+func read(r io.Reader) (all []string, err error) {
+	s := NewScanner(r)
+	for s.Scan() {
+		all = append(all, string(s.Object()))
+	}
+	return all, s.Err()
+}
+
+func TestScanner(t *testing.T) {
+	long := `{"a":"` + strings.Repeat("x", 3*firstBuffer) + `"}`
+	for _, c := range []struct {
+		name, text string
+		want       []string
+		err        error
+	}{
+		{"nothing", "", nil, nil},
+		{"one a line", "{\"a\":1}\n{\"b\":2}\n", []string{`{"a":1}`, `{"b":2}`}, nil},
+		{"blank lines between", "\n{}\n\n\r\n{}\n", []string{"", "{}", "", "", "{}"}, nil},
+		{"several on a line", `{"a":1} {"b":2}` + "\n\n", []string{`{"a":1}`, `{"b":2}`, ""}, nil},
+		{"indented", "  {\n  \"a\": [\n    {\"b\": 1}\n  ]\n}\n\n",
+			[]string{"{\n  \"a\": [\n    {\"b\": 1}\n  ]\n}", ""}, nil},
+		{"brackets and quotes in a string", `{"a":"}]\"{"}`, []string{`{"a":"}]\"{"}`}, nil},
+		{"no newline at the end", "{}", []string{"{}"}, nil},
+		{"longer than the first buffer", long + "\n{}", []string{long, "{}"}, nil},
+		{"cut off", "{}\n{\"a\":", []string{"{}"}, io.ErrUnexpectedEOF},
+		{"no object", "{}\nnull\n", []string{"{}"}, ErrNotObject},
+		{"a stray bracket", "]", nil, ErrNotObject},
+		{"brackets that do not match", "{}\n{\"a\":[{]}\n", []string{"{}"}, ErrNesting},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for way, r := range map[string]io.Reader{"whole": strings.NewReader(c.text),
+				"byte by byte": iotest.OneByteReader(strings.NewReader(c.text))} {
+				all, err := read(r)
+				assert.Equal(t, c.want, all, way)
+				assert.ErrorIs(t, err, c.err, way)
+			}
+		})
+	}
+}
+
+// A blank line is told as soon as it has come, as it is what shows that a watch is alive.
+func TestBlankLineIsNotHeldBack(t *testing.T) {
+	r, w := io.Pipe()
+	defer w.Close()
+	go w.Write([]byte("{}\n\n"))
+	s := NewScanner(r)
+	assert.True(t, s.Scan())
+	assert.Equal(t, "{}", string(s.Object()))
+	assert.True(t, s.Scan())
+	assert.Empty(t, s.Object())
+}
+
+func FuzzScanner(f *testing.F) {
+	f.Add([]byte("{\"a\":[{}]}\n\n{}"), []byte(`{"index":1}`))
+	f.Add([]byte(`{"a":"\"}"}`), []byte("{\n}"))
+	f.Fuzz(func(t *testing.T, text, object []byte) {
+		whole, wholeErr := read(bytes.NewReader(text))
+		pieces, piecesErr := read(iotest.OneByteReader(bytes.NewReader(text)))
+		assert.Equal(t, whole, pieces, "the same, however it comes")
+		assert.Equal(t, wholeErr, piecesErr)
+		object = bytes.TrimSpace(object)
+		if !json.Valid(object) || !bytes.HasPrefix(object, []byte("{")) {
+			return
+		}
+		all, err := read(bytes.NewReader(object))
+		assert.NoError(t, err)
+		assert.Equal(t, []string{string(object)}, all, "what is valid is found whole")
+	})
+}
--- a/internal/relay/backends.go
+++ b/internal/relay/backends.go
@@ -13,10 +13,15 @@
 )
 
 const (
-	watchBeat  = 3500.0 // an empty line comes every two seconds; one missed is the end of the watch
-	renewBeat  = 1200.0 // and for the first line of a discovery that a reload names: it has four seconds to tell
-	renewGap   = 250.0  // before that one is asked again
-	probeWaits = 2      // times the time for a connect, for a probe's answer
+	// heartbeatTimeout is for the next line of a watch: an empty one comes every 2 s. What a silent watch misses
+	// counts as told 6 s after it fell silent, which leaves time for a call that is refused once or twice.
+	heartbeatTimeout = 2800.0
+	// answerTimeout is for the first line. Discovery works through calls in turn, so that one given up early
+	// loses its place there. With renewGap it leaves time for a second call within the 4 s in which a discovery
+	// that a reload names has to be heard.
+	answerTimeout = 3300.0
+	renewGap      = 250.0 // before a discovery that a reload names is asked again
+	probeWaits    = 2     // times the time for a connect, for a probe's answer
 )
 
 // backend is a server as this relay knows it.
@@ -170,8 +175,8 @@
 		r.listFailed(e.Err.Error())
 		return
 	}
-	r.arm(&r.watched, r.now+watchBeat)
-	r.heardAt = r.now
+	r.arm(&r.watched, r.now+heartbeatTimeout)
+	r.heardAt, r.answered = r.now, true
 	if e.News != nil && e.News.Clock > 0 {
 		r.dated = e.News.Clock - r.now
 	}
@@ -232,8 +237,14 @@
 	}
 }
 
-// watchQuiet takes that the watch has brought nothing for too long.
+// watchQuiet takes that the watch has brought nothing for too long. One that has brought something is opened anew
+// at once, as only that shows what it has missed since; a call that was never answered waits for its turn.
 func (r *Reducer) watchQuiet() {
+	if r.answered {
+		r.note("watch fell silent")
+		r.watch()
+		return
+	}
 	r.do(Effect{Do: Unwatch})
 	r.listFailed("silent")
 }
@@ -244,16 +255,12 @@
 func (r *Reducer) watch() {
 	r.Watches++
 	r.watches++
-	r.watching, r.asked = r.watches, r.index
+	r.watching, r.asked, r.answered = r.watches, r.index, false
 	if r.younger || len(r.dismissed) > 0 {
 		r.asked = 0
 	}
 	r.do(Effect{Do: Watch, Conn: r.watching, After: r.asked, Text: r.source})
-	beat := watchBeat
-	if r.untold {
-		beat = renewBeat
-	}
-	r.arm(&r.watched, r.now+beat)
+	r.arm(&r.watched, r.now+answerTimeout)
 }
 
 // Subscribe has the list watched. A watch that still brings its empty lines needs no other.
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -5,7 +5,6 @@
 // ask again.
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +14,8 @@
 	"net/netip"
 	"strconv"
 	"time"
+
+	"valeshift/internal/jsonstream"
 )
 
 // Entry is a backend as the list has it. Bad says why it can't be used; only its name counts then.
@@ -81,6 +82,9 @@
 	return float64(at.UnixMilli()) + 500 // cut off to seconds there
 }
 
+// connectTimeout is for a connection to discovery to come up; a machine that does not answer is asked again.
+const connectTimeout = time.Second
+
 // discovery holds one watch at a time.
 type discovery struct {
 	client *http.Client
@@ -89,7 +93,7 @@
 }
 
 func newDiscovery(take func(Event)) *discovery {
-	dialer := &net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
 	return &discovery{take: take, stop: func() {}, client: &http.Client{
 		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}}
 }
@@ -122,14 +126,13 @@
 		return fmt.Errorf("watch: status %d", answer.StatusCode)
 	}
 	clock, came := dated(answer), time.Now()
-	lines := bufio.NewScanner(answer.Body)
-	lines.Buffer(make([]byte, 0, 4096), 16<<20)
-	for lines.Scan() {
-		if len(lines.Bytes()) == 0 {
+	stream := jsonstream.NewScanner(answer.Body)
+	for stream.Scan() {
+		if len(stream.Object()) == 0 {
 			d.take(Event{Kind: ListHeard, Conn: number})
 			continue
 		}
-		news, err := readNews(lines.Bytes())
+		news, err := readNews(stream.Object())
 		if err != nil {
 			return err
 		}
@@ -138,7 +141,10 @@
 		}
 		d.take(Event{Kind: ListNews, Conn: number, News: news})
 	}
-	if err := lines.Err(); err != nil {
+	switch err := stream.Err(); {
+	case errors.Is(err, jsonstream.ErrNotObject), errors.Is(err, jsonstream.ErrNesting):
+		return fmt.Errorf("list: %w", err)
+	case err != nil:
 		return fmt.Errorf("watch: %w", err)
 	}
 	return errors.New("watch: ended")
--- a/internal/relay/figures_test.go
+++ b/internal/relay/figures_test.go
@@ -94,7 +94,7 @@
 		step{1001, "open 2", ""}, step{1001, "came 2 PING|", "write 2 ERR|"}, step{1002, "end 2", "end 2"},
 		step{1300, "open 3", ""}, step{1300, "came 3 OPEN b 1f c=feed,d=2000|", "dial s2 10.0.0.1:9000"},
 		step{1301, "up s2", "write s2 OPEN b 1f c=feed,d=1989|"}, step{1899, "tick", ""},
-		step{2650, "tick", "write 1 MOVE|; end 1; end s1"})
+		step{2650, "tick", "write 1 MOVE|; end 1; end s1"}, step{2651, "heard 1", ""})
 	assert.False(t, s.serving())
 	s.play("what came is served and goes at once", step{3399, "came s2 UP r|",
 		"write 3 UP r|; write 3 MOVE|; end 3; end s2"},
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -264,6 +264,7 @@
 	watching   uint64 // number of the watch, or 0
 	watches    uint64
 	watched    timer
+	answered   bool // the watch has brought something
 	ready      bool
 	starting   timer
 	told       bool    // the list, by discovery
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -568,18 +568,20 @@
 
 func TestWatch(t *testing.T) {
 	s := open(t, nil, 0, "b1=active")
-	s.play("quiet", step{2000, "heard 1", ""}, step{5499, "tick", ""}, step{5500, "tick", "unwatch"},
-		step{5501, "news 1 9 whole", ""}, step{7000, "tick", "watch 2 after 0"},
-		step{7001, "news 2 9 whole b1=active", ""}, step{7002, "failed 1", ""},
-		step{7003, "failed 2", ""}, step{9000, "tick", "watch 3 after 9"},
-		step{9001, "news 3 8 delta b1=leaving", "watch 4 after 0"}, // at once: it may have told a drain
-		step{9002, "news 4 3 whole b1=active b2=active", ""},
-		step{9003, "news 4 2 delta b1=leaving", "unwatch"}, // and not at once for ever
-		step{12001, "tick", "watch 5 after 0"}, step{12001, "news 5 3 whole b1=active b2=active", ""})
+	s.play("one that fell silent is opened anew at once", step{2000, "heard 1", ""}, step{4799, "tick", ""},
+		step{4800, "tick", "watch 2 after 0"}, step{4801, "news 1 9 whole", ""}, step{8099, "tick", ""})
+	s.play("a call that is never answered is made again soon", step{8100, "tick", "unwatch"},
+		step{9700, "tick", "watch 3 after 0"})
+	s.play("whatever else ends it", step{9701, "news 3 9 whole b1=active", ""}, step{9702, "failed 1", ""},
+		step{9703, "failed 3", ""}, step{11300, "tick", "watch 4 after 9"},
+		step{11301, "news 4 8 delta b1=leaving", "watch 5 after 0"}, // at once: it may have told a drain
+		step{11302, "news 5 3 whole b1=active b2=active", ""},
+		step{11303, "news 5 2 delta b1=leaving", "unwatch"}, // and not at once for ever
+		step{12900, "tick", "watch 6 after 0"}, step{12900, "news 6 3 whole b1=active b2=active", ""})
 	assert.Equal(t, uint64(3), s.index, "a list that was asked for whole may go back")
 	s.named("b1").Entry.Bad = ""
 	bad := []Entry{{Name: "b1", Status: "odd", Bad: "status"}, {Name: "b2", Status: "left"}}
-	s.Take(12002, Event{Kind: ListNews, Conn: 5, News: &News{Index: 4, Whole: true, Entries: bad}})
+	s.Take(12902, Event{Kind: ListNews, Conn: 6, News: &News{Index: 4, Whole: true, Entries: bad}})
 	assert.Equal(t, logic.Ready, s.named("b1").condition, "what was known of a bad entry stays")
 	assert.Equal(t, logic.Gone, s.named("b2").condition)
 }
@@ -593,9 +595,10 @@
 		step{302, "reload 10.1.0.2:85", "watch 2 after 0 at 10.1.0.2:85"},
 		step{303, "news 1 8 delta b1=leaving", ""},
 		step{310, "failed 2", ""}, step{560, "tick", "watch 3 after 0 at 10.1.0.2:85"},
-		step{1759, "tick", ""}, step{1760, "tick", "unwatch"},
-		step{2010, "tick", "watch 4 after 0 at 10.1.0.2:85"}, step{2011, "came 1 x|", "write s1 x|"},
-		step{2012, "news 4 2 whole b1=active b3=active", ""}, step{5511, "tick", ""}, step{5512, "tick", "unwatch"})
+		step{2011, "came 1 x|", "write s1 x|"}, step{2012, "came s1 x|", "write 1 x|"}, step{3859, "tick", ""},
+		step{3860, "tick", "unwatch"}, step{4110, "tick", "watch 4 after 0 at 10.1.0.2:85"},
+		step{4111, "news 4 2 whole b1=active b3=active", ""}, step{6910, "tick", ""},
+		step{6911, "tick", "watch 5 after 2 at 10.1.0.2:85"})
 	assert.Equal(t, logic.Gone, s.named("b2").condition)
 	assert.Equal(t, []uint64{2, 1}, []uint64{s.Reloads, s.BadReloads})
 	assert.Equal(t, 1, s.Standing)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,6 +60,7 @@
 	stopOver   = 1500.0   // and as this relay stops
 	askPart    = 0.8      // of the time after which silence counts as told
 	askRelay   = 1000.0   // between two relays' asking of the list anew
+	maxBackoff = 1000.0   // mean wait before a retry of a failed call for the list; half as much again at most
 	askSpread  = 20.0     // between two relays' first asking
 	against    = 0.8      // of the doubt left, that a link shed or a try without an answer adds
 	inFavour   = 0.5      // of the doubt, that a link which stood its time takes back
@@ -276,12 +277,12 @@
 // silence is when the list is asked anew. Against hundreds of relays drowning it: then it tells no drain.
 func (b *Balancer) silence() float64 { return max(b.askWithin*askPart, b.shares.relays*askRelay) }
 
-// ListFailed takes a failed call or a broken subscription. Waits stay under the four times after which a
-// relay whose call failed counts as told of what it missed.
+// ListFailed takes a failed call or a broken subscription, and sets the time of the retry: exponential
+// back-off with jitter, bounded, as a change counts as told a fixed time after discovery can be reached again.
 func (b *Balancer) ListFailed(now float64) {
 	b.failures = min(b.failures+1, 6)
-	b.askAt = now + min(float64(int(100)<<b.failures)*(1+b.shares.relays/32), 2.5*b.askWithin)*
-		(0.5+b.turns.chance.Float64())
+	wait := float64(int(100)<<b.failures) * (1 + b.shares.relays/32)
+	b.askAt = now + min(wait, maxBackoff, 2.5*b.askWithin)*(0.5+b.turns.chance.Float64())
 }
 
 // spread is the part of the fleet that can be kept in use for what a link may cost in probes, and how often.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -591,6 +591,24 @@
 	assert.Less(t, again, 60)
 }
 
+// A change counts as told 6 s after discovery had it and could be reached. A call that was begun just before
+// can take up to 3.5 s to be given up, so that the retry has to come within 2 s, however many have failed.
+func TestListBackoffIsBounded(t *testing.T) {
+	for _, relays := range []int{1, 3, 30, 300} {
+		for seed := range int64(20) {
+			b := fleet{Asked: true, Loads: []float64{0.3}, Relays: relays, Seed: seed}.build(t)
+			now := start + 1000
+			for failure := range 12 {
+				b.ListFailed(now)
+				assert.LessOrEqual(t, b.askAt-now, 2000.0, "%d relays, failure %d", relays, failure)
+				assert.Greater(t, b.askAt-now, 50.0, "%d relays, failure %d", relays, failure)
+				now = b.askAt
+				assert.True(t, b.Next(now).Subscribe)
+			}
+		}
+	}
+}
+
 func TestProbesKeepToTheBound(t *testing.T) {
 	b := fleet{Loads: []float64{0.3, 0.3}}.build(t)
 	last := map[uint32]float64{}
