Closes read on until the client closes; nothing is sent for a client that has gone

At fault: sockets.go end closed both ways at once, after dropping what had come by then: bytes that come a moment later reset the connection, with the answer on its way. Serve waited at the exit for writes alone: what stood in the listener's backlog was reset, and a head that came after the exit was decided was sent on (reducer.go begin). hold told that a dial was up without a look at the client: one that had closed before its head was read, or while the poller was late, got an attempt (TestNothingIsSentForAClientThatHasClosed fails three ways without).

Change, in closing.go, where what stood in sockets.go about ends has gone: a client's connection is closed for sending, and read for up to a second; such connections are the first to go where descriptors are short. At the exit the backlog is taken in and told to come again, whoever has no answer gets one, and clients have 50 ms to close. A dial's effect names its client, whose socket is looked at before the dial is told to be up.

TestAnyOrderOfEvents draws reloads, lame ducks and the exit too, and checks that no attempt is begun for a client that left, to a backend that drains, or after the exit is decided, and that no timer is left; each check trips on its planted fault.

--- a/internal/relay/passing.go
+++ b/internal/relay/passing.go
@@ -226,8 +226,9 @@
 			s.work.do(func() { s.take(Event{Kind: Over, Conn: c.conn, Broken: true}) })
 			continue
 		}
+		c.polled = true
 		if c.closing.Load() {
-			c.hurry()
+			c.startFlush()
 		}
 		if len(c.later) > 0 {
 			c.nb.Write(c.later)
--- a/internal/relay/random_test.go
+++ b/internal/relay/random_test.go
@@ -8,10 +8,16 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"valeshift/logic"
 )
 
-// Whatever comes in whatever order, a client gets one final answer in time, has one setup try out at a time,
-// is told nothing more once its connection is over, and nothing is left behind.
+// fixedTimers is how many timers may be armed without a connection: of the list, the start, the door and the stop.
+const fixedTimers = 6
+
+// Whatever comes in whatever order, a client gets one final answer in time, has one attempt out at a time, is told
+// nothing more once its connection is over, and nothing is left behind. No attempt is begun for a client that has
+// left, nor sent to a backend that was told to drain; after the exit is decided, none is begun at all.
 func TestAnyOrderOfEvents(t *testing.T) {
 	for seed := range int64(300) {
 		chance := rand.New(rand.NewSource(seed))
@@ -44,6 +50,9 @@
 				switch f[0] {
 				case "dial":
 					open[f[1]] = true
+					c := s.ends[s.conn(f[1])]
+					require.False(t, c.link != nil && c.link.client == nil, "seed %d: %s for a client that left", seed, said)
+					require.False(t, c.link != nil && s.quit, "seed %d: %s after the exit was decided", seed, said)
 				case "watch":
 					fmt.Sscan(f[1], &watch)
 				case "end", "break":
@@ -52,6 +61,10 @@
 				case "write":
 					require.True(t, open[f[1]], "seed %d: %s to one that is over", seed, said)
 					first := strings.SplitN(said, " ", 3)[2]
+					if c := s.ends[s.conn(f[1])]; strings.HasPrefix(first, "OPEN") && c != nil {
+						require.NotNil(t, c.link.client, "seed %d: %s for a client that left", seed, said)
+						require.Equal(t, logic.Ready, c.backend.condition, "seed %d: %s to one that drains", seed, said)
+					}
 					if limit, link := due[f[1]]; link && !answered[f[1]] {
 						require.Regexp(t, `^(UP|BUSY|ERR)`, first, "seed %d", seed)
 						require.LessOrEqual(t, now, limit, "seed %d: late", seed)
@@ -134,6 +147,14 @@
 			case k == 19:
 				tell([]string{"heard ", "failed "}[chance.Intn(2)] + fmt.Sprint(watch))
 			}
+			switch chance.Intn(60) {
+			case 0:
+				tell(fmt.Sprintf("reload 10.1.0.%d:85", 1+chance.Intn(3)))
+			case 1:
+				tell("refuse")
+			case 2:
+				tell([]string{"lame on", "lame off"}[chance.Intn(2)])
+			}
 		}
 		tell("stop")
 		for now < 1e6 && !s.quit {
@@ -141,13 +162,21 @@
 			tell("tick")
 		}
 		require.True(t, s.quit, "seed %d", seed)
+		for c := range open {
+			if _, asked := due[c]; c[0] != 's' && !asked && chance.Intn(2) == 0 {
+				due[c] = now + 1000
+				tell(fmt.Sprintf("came %s OPEN i%s 1 c=feed,t=one,d=1000|", c, c)) // taken in at the last moment
+			}
+		}
+		tell("ended")
 		for c := range due {
 			require.True(t, answered[c], "seed %d: %s has no answer", seed, c)
 		}
 		require.Zero(t, s.links, "seed %d", seed)
 		require.Zero(t, s.Standing, "seed %d", seed)
 		for _, c := range s.ends {
-			require.True(t, c.link == nil || c.link.stage == heading, "seed %d: left behind", seed)
+			require.Nil(t, c.link, "seed %d: left behind", seed)
 		}
+		require.LessOrEqual(t, len(s.timers), fixedTimers+len(s.ends), "seed %d: a timer of one that is over", seed)
 	}
 }
--- a/internal/relay/reducer.go
+++ b/internal/relay/reducer.go
@@ -52,6 +52,7 @@
 	Entrusted // they hold the Word of Conn, or (Off) they don't
 	Claimed   // what they held: the Word on Key, for Conn; Off: nothing
 	Beyond    // others placed the load Placed, which figures may not hold yet; below 0: not known
+	Ended     // the process ends now: whoever has no answer yet gets one
 )
 
 // Event is one thing that happened.
@@ -88,12 +89,12 @@
 
 // The effects.
 const (
-	Dial  Do = iota
-	Write    // Parts, after all that was written before
-	End      // end the connection once all is written
-	Break    // reset it now, or stop dialing
-	Arm      // have Tick come at At
-	Watch    // watch the list at Text as Conn, from After on, in place of any other watch
+	Dial  Do = iota // for the client Peer; 0: for none
+	Write           // Parts, after all that was written before
+	End             // end the connection once all is written
+	Break           // reset it now, or stop dialing
+	Arm             // have Tick come at At
+	Watch           // watch the list at Text as Conn, from After on, in place of any other watch
 	Unwatch
 	Hold     // take in no further client
 	Free     // and again
@@ -416,6 +417,8 @@
 		r.claimed(e)
 	case Beyond:
 		r.table.Balancer.Others(e.Placed)
+	case Ended:
+		r.emptyNow()
 	}
 	for len(r.timers) > 0 && r.timers[0].at <= now {
 		heap.Pop(&r.timers).(*timer).fire()
@@ -540,7 +543,11 @@
 func (r *Reducer) dial(b *backend, l *link) *end {
 	r.dials++
 	c := r.add(&end{conn: r.dials, backend: b, link: l, since: b.Since})
-	r.do(Effect{Do: Dial, Conn: c.conn, Text: b.Address})
+	effect := Effect{Do: Dial, Conn: c.conn, Text: b.Address}
+	if l != nil && l.client != nil {
+		effect.Peer = l.client.conn
+	}
+	r.do(effect)
 	return c
 }
 
@@ -727,6 +734,9 @@
 	r.disarm(&l.client.wait)
 	r.headed(l, placing)
 	switch {
+	case r.quit:
+		// Against a request that nobody is left to see through to its answer.
+		r.Carry(l, logic.Answer{Verdict: logic.Reject, Wait: r.maxBack})
 	case len(head.At) > 0:
 		r.resume(l)
 	case r.short() || r.links > r.mostHeld:
--- a/internal/relay/reducer_test.go
+++ b/internal/relay/reducer_test.go
@@ -140,6 +140,8 @@
 		e = Event{Kind: Claimed, Word: Stood, Conn: s.conn(word[1]), Off: true}
 	case "recovers":
 		e = Event{Kind: Recovers, Part: 0.5}
+	case "ended":
+		e = Event{Kind: Ended}
 	case "stop":
 		e = Event{Kind: Stop, Yield: len(word) > 1}
 	default:
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -33,12 +33,11 @@
 
 const (
 	readPiece  = 16 << 10
-	mostUnread = 64 << 10 // written but not taken by a peer, above which it is a slow reader and cut off
-	lastWrites = 200 * time.Millisecond
+	mostUnread = 64 << 10               // written but not taken by a peer, above which it is a slow reader and cut off
 	lookEvery  = 100 * time.Millisecond // for another process of this relay
 	leftWait   = 800 * time.Millisecond // for what the elder leaves
 	acceptGap  = 20 * time.Millisecond
-	restWait   = 2 * time.Second // for a peer to take what was written before an end
+	maxSockets = 1 << 30 // more than there can be
 )
 
 // socket is a connection that nbio holds.
@@ -51,6 +50,7 @@
 	reading sync.Mutex   // held while it is read
 	passed  bool         // to the younger process, under reading
 	early   bool         // adopted from the elder, which has not let go of it: nothing is read or written
+	polled  bool         // nbio reads it
 	later   []byte       // to be written then, counted as unsent
 }
 
@@ -68,12 +68,16 @@
 	dialing map[uint64]*dialing
 	work    workers
 	timer   *time.Timer
-	held    bool // no client is accepted
+	closing []*socket // in the order in which their closing began; some may be gone
+	held    bool      // no client is accepted
+	ending  bool      // nor ever again, but for those that wait
 	freed   *sync.Cond
-	parts   [][]byte
-	quit    chan struct{}
-	board   *board // where operators call; else nil
-	mates   Mates  // nil: this relay keeps nothing and knows no other
+	// accepted is closed once the accept loop is over.
+	accepted chan struct{}
+	parts    [][]byte
+	quit     chan struct{}
+	board    *board // where operators call; else nil
+	mates    Mates  // nil: this relay keeps nothing and knows no other
 
 	listener *net.TCPListener
 	seat     *handover.Seat // among the processes of this relay; nil: there can be no other
@@ -111,7 +115,7 @@
 	stop, print, reload <-chan struct{}) error {
 	now := time.Now()
 	s := &Sockets{log: log, base: now, baseMS: float64(t.Clock().UnixMicro()) / 1000, open: map[uint64]*socket{},
-		dialing: map[uint64]*dialing{}, quit: make(chan struct{})}
+		dialing: map[uint64]*dialing{}, quit: make(chan struct{}), accepted: make(chan struct{})}
 	if err := s.sit(t); err != nil {
 		return err
 	}
@@ -176,7 +180,7 @@
 			s.take(s.reloaded(again()))
 		case <-s.quit:
 			s.passing.pending.Wait()
-			s.drain()
+			s.endAll()
 			s.counters("exit")
 			return nil
 		}
@@ -293,21 +297,6 @@
 	}
 }
 
-// drain waits for what was written last to be taken.
-func (s *Sockets) drain() {
-	for until := time.Now().Add(lastWrites); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		left := int64(0)
-		s.mutex.Lock()
-		for _, c := range s.open {
-			left += c.unsent.Load()
-		}
-		s.mutex.Unlock()
-		if left == 0 {
-			return
-		}
-	}
-}
-
 // now is the clock that all machines read, held straight by this machine's monotonic one.
 func (s *Sockets) now() float64 {
 	return s.baseMS + float64(time.Since(s.base))/float64(time.Millisecond)
@@ -332,7 +321,7 @@
 	for i := 0; i < len(effects); i++ {
 		switch e := effects[i]; e.Do {
 		case Dial:
-			s.dial(e.Conn, e.Text)
+			s.dial(e.Conn, e.Peer, e.Text)
 		case Write:
 			// Lines that go to one connection in a row go out together.
 			s.parts = append(s.parts[:0], e.Parts...)
@@ -351,6 +340,9 @@
 		case Hold, Free:
 			s.held = e.Do == Hold
 			s.freed.Broadcast()
+			if s.ending {
+				continue // the listener's deadline is that of its last connections
+			}
 			if s.held { // also where a client is waited for already: the next is not taken in
 				s.listener.SetDeadline(time.Unix(1, 0))
 			} else {
@@ -388,25 +380,37 @@
 // accept takes clients in. It waits where there is none to be had, against spinning without descriptors;
 // nbio's own listener asks again at once.
 func (s *Sockets) accept() {
-	for {
-		s.mutex.Lock()
-		for s.held {
-			s.freed.Wait()
-		}
-		s.mutex.Unlock()
-		plain, err := s.listener.Accept()
-		if err != nil {
-			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				time.Sleep(acceptGap)
-			}
-			continue
+	defer close(s.accepted)
+	for s.mayAccept() {
+		s.acceptOne()
+	}
+}
+
+// mayAccept waits while no client is to be accepted, and tells whether any is again.
+func (s *Sockets) mayAccept() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for s.held && !s.ending {
+		s.freed.Wait()
+	}
+	return !s.ending
+}
+
+// acceptOne takes one client in, and tells whether one came.
+func (s *Sockets) acceptOne() bool {
+	plain, err := s.listener.Accept()
+	if err != nil {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			time.Sleep(acceptGap)
 		}
-		s.mutex.Lock()
-		s.clients++
-		conn := s.clients
-		s.mutex.Unlock()
-		s.hold(conn, plain, Opened)
+		return false
 	}
+	s.mutex.Lock()
+	s.clients++
+	conn := s.clients
+	s.mutex.Unlock()
+	s.hold(conn, plain, Opened)
+	return true
 }
 
 // dialing is a connection that is being dialed. Against a context for each, which costs a routine and a timer
@@ -440,7 +444,8 @@
 
 // dial connects beside the reducer. A connection that comes up after it was given up is dropped here. The
 // reducer gives up each that does not come up in time, so that there is no other limit.
-func (s *Sockets) dial(conn uint64, address string) {
+func (s *Sockets) dial(conn, client uint64, address string) {
+	s.limitClosing(1)
 	d := &dialing{}
 	s.dialing[conn] = d
 	s.work.do(func() {
@@ -453,20 +458,47 @@
 			s.take(Event{Kind: Over, Conn: conn, Broken: true})
 			return
 		}
-		s.hold(conn, plain, Up)
+		if s.hold(conn, plain, Up) {
+			s.tellUp(conn, client)
+		}
 	})
 }
 
-// hold gives a connection to nbio, unless it was given up meanwhile. A client's is told of before its first
-// bytes can be; one that was dialed when it can be written to.
-func (s *Sockets) hold(conn uint64, plain net.Conn, kind Kind) {
+// tellUp tells that a dialed connection is up. Where the client that it is for has closed by now, that is told
+// first, as the poller may not have come to it yet: nothing is sent for a client that has gone.
+func (s *Sockets) tellUp(conn, client uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if c := s.open[client]; c != nil {
+		if over, broken := c.peerClosed(); over {
+			s.tell(Event{Kind: Over, Conn: client, Broken: broken})
+		}
+	}
+	s.tell(Event{Kind: Up, Conn: conn})
+}
+
+// peerClosed tells whether the peer has closed or reset the connection, with nothing left to be read before that.
+func (c *socket) peerClosed() (closed, broken bool) {
+	c.nb.Lock()
+	defer c.nb.Unlock()
+	if closed, _ := c.nb.IsClosed(); closed {
+		return true, false
+	}
+	var one [1]byte
+	n, _, err := syscall.Recvfrom(c.nb.Hash(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET), err != nil
+}
+
+// hold gives a connection to nbio, unless it was given up meanwhile, and tells whether it did. A client's is told
+// of before its first bytes can be.
+func (s *Sockets) hold(conn uint64, plain net.Conn, kind Kind) bool {
 	nb, err := nbio.NBConn(plain)
 	if err != nil {
 		plain.Close()
 		if kind == Up {
 			s.take(Event{Kind: Over, Conn: conn, Broken: true})
 		}
-		return
+		return false
 	}
 	c := &socket{conn: conn, nb: nb}
 	nb.SetSession(c)
@@ -474,9 +506,10 @@
 	if _, wanted := s.dialing[conn]; kind == Up && !wanted {
 		s.mutex.Unlock()
 		nb.Close()
-		return
+		return false
 	}
 	delete(s.dialing, conn)
+	s.limitClosing(1)
 	s.open[conn] = c
 	s.mutex.Unlock()
 	if kind == Opened {
@@ -485,13 +518,13 @@
 	s.mutex.Lock()
 	if s.open[conn] == c { // against handing over a descriptor that was closed since
 		_, err = s.engine.AddConn(nb)
+		c.polled = err == nil
 	}
 	s.mutex.Unlock()
 	if err != nil {
 		s.take(Event{Kind: Over, Conn: conn, Broken: true})
-	} else if kind == Up {
-		s.take(Event{Kind: kind, Conn: conn})
 	}
+	return err == nil
 }
 
 // read takes in what there is, to the end or the reset behind it.
@@ -533,7 +566,7 @@
 	}
 	s.work.do(func() {
 		s.mutex.Lock()
-		delete(s.open, c.conn)
+		s.forgetSocket(c)
 		s.mutex.Unlock()
 		s.take(Event{Kind: Over, Conn: c.conn, Broken: err != nil && !errors.Is(err, io.EOF),
 			Unsent: c.unsent.Load() > 0, Slow: errors.Is(err, nbio.ErrOverflow)})
@@ -595,47 +628,13 @@
 func (s *Sockets) written(nb *nbio.Conn, _ []byte, n int) {
 	c, ok := nb.Session().(*socket)
 	if ok && c.unsent.Add(int64(-n)) == 0 && c.closing.Load() {
-		go nb.Close()
-	}
-}
-
-func (s *Sockets) end(conn uint64, how Do) {
-	if d := s.dialing[conn]; d != nil {
-		delete(s.dialing, conn)
-		d.giveUp()
-		return
-	}
-	c := s.open[conn]
-	switch {
-	case c == nil:
-	case how == Break:
-		delete(s.open, conn)
-		c.nb.SetLinger(1, 0)
-		c.nb.Close()
-	default:
-		c.closing.Store(true)
-		if c.unsent.Load() == 0 {
-			delete(s.open, conn)
-			c.discard()
-			c.nb.Close()
-		} else if !c.early { // nbio can't before it polls
-			c.hurry()
-		}
-	}
-}
-
-// hurry gives the peer some time for the rest. Against one that never takes it holding its descriptor for
-// ever.
-func (c *socket) hurry() { c.nb.SetWriteDeadline(time.Now().Add(restWait)) }
-
-// discard drops what the peer has sent, up to a bound. Against a close with input unread: it resets the
-// connection, and a reset may overtake the last answer.
-func (c *socket) discard() {
-	var piece [4 << 10]byte
-	for range readPiece / len(piece) {
-		if n, err := c.nb.Read(piece[:]); n <= 0 || err != nil {
-			return
-		}
+		s.work.do(func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			if s.open[c.conn] == c {
+				s.flushed(c)
+			}
+		})
 	}
 }
 
--- a/internal/relay/sockets_test.go
+++ b/internal/relay/sockets_test.go
@@ -1,11 +1,15 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +17,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"valeshift/internal/settings"
 )
 
 // narrow is Sockets without a relay, and a way to connect them to a peer that takes little in till it reads.
@@ -25,9 +31,16 @@
 	}}
 	listener, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s = &Sockets{open: map[uint64]*socket{}}
+	s = &Sockets{open: map[uint64]*socket{}, dialing: map[uint64]*dialing{}}
 	s.engine = nbio.NewEngine(nbio.Config{NPoller: 1, MaxWriteBufferSize: mostUnread})
 	s.engine.OnWrittenSize(s.written)
+	s.engine.OnClose(func(nb *nbio.Conn, _ error) {
+		s.work.do(func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.forgetSocket(nb.Session().(*socket))
+		})
+	})
 	buffer := make([]byte, readPiece)
 	s.engine.OnRead(func(c *nbio.Conn) { s.read(c, buffer) })
 	require.NoError(t, s.engine.Start())
@@ -43,8 +56,10 @@
 		nb, err := nbio.NBConn(out)
 		require.NoError(t, err)
 		require.NoError(t, nb.SetWriteBuffer(4096))
-		k := &socket{conn: 1, nb: nb}
+		k := &socket{conn: 1, nb: nb, polled: true}
 		nb.SetSession(k)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
 		s.open[1] = k
 		_, err = s.engine.AddConn(nb)
 		require.NoError(t, err)
@@ -52,6 +67,28 @@
 	}
 }
 
+// closeAfter writes to the one connection, and closes it once that is out.
+func closeAfter(s *Sockets, parts ...[]byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.write(1, parts)
+	s.end(1, End)
+}
+
+// serving gives them a relay with one backend, to which it can't connect.
+func serving(t *testing.T, s *Sockets) {
+	values, err := settings.Flatten([]byte(told))
+	require.NoError(t, err)
+	reducer, err := New(s.now(), &Told{Settings: values, Discovery: "127.0.0.1:1",
+		Known: &News{Whole: true, Entries: entries([]string{"b1=active"})}})
+	require.NoError(t, err)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.reducer, s.log = reducer, slog.New(slog.DiscardHandler)
+	s.freed, s.timer = sync.NewCond(&s.mutex), time.NewTimer(time.Hour)
+	s.discovery = newDiscovery(s.take)
+}
+
 // Against nbio's Writev, which loses whatever follows the first piece that the kernel did not take whole.
 func TestGatheredWritesKeepEverything(t *testing.T) {
 	s, connect := narrow(t)
@@ -63,8 +100,7 @@
 			parts = append(parts, bytes.Repeat([]byte{'a' + byte(i%26)}, c.size))
 			want = append(want, parts[i]...)
 		}
-		s.write(1, parts)
-		s.end(1, End)
+		closeAfter(s, parts...)
 		require.Positive(t, k.unsent.Load(), "the kernel took it all: nothing is tested")
 		rest, err := io.ReadAll(in)
 		require.NoError(t, err, "ended, not broken, once all is written")
@@ -89,12 +125,13 @@
 	k := &socket{conn: 1, nb: nb, early: true}
 	nb.SetSession(k)
 	s.open[1] = k
-	s.write(1, [][]byte{[]byte("MO"), []byte("VE")})
-	s.end(1, End)
+	closeAfter(s, []byte("MO"), []byte("VE"))
 	in.SetDeadline(time.Now().Add(50 * time.Millisecond))
 	_, err = in.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing is written, nothing closed")
+	s.mutex.Lock()
 	s.polls([2]*socket{k, {conn: 2}})
+	s.mutex.Unlock()
 	in.SetDeadline(time.Now().Add(5 * time.Second))
 	all, err := io.ReadAll(in)
 	require.NoError(t, err)
@@ -105,10 +142,9 @@
 func TestFloodBehindTheEndIsCutOff(t *testing.T) {
 	s, connect := narrow(t)
 	k, in := connect()
-	s.write(1, [][]byte{make([]byte, 60000)})
-	s.end(1, End)
+	closeAfter(s, make([]byte, 60000))
 	require.Positive(t, k.unsent.Load())
-	in.SetWriteDeadline(time.Now().Add(restWait / 2))
+	in.SetWriteDeadline(time.Now().Add(flushTimeout / 2))
 	sent, err := 0, error(nil)
 	for n := 0; err == nil; sent += n {
 		n, err = in.Write(make([]byte, readPiece))
@@ -116,6 +152,175 @@
 	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded, "%d bytes were taken", sent)
 }
 
+// A close over input that has not been read resets the connection, and takes the answer with it where the peer has
+// not read that yet: clients send in the very moment in which the relay closes.
+func TestCloseReadsOnUntilTheClientCloses(t *testing.T) {
+	s, connect := narrow(t)
+	serving(t, s)
+	for _, c := range []struct {
+		name string
+		send func(in net.Conn, close func())
+	}{
+		{"before the close", func(in net.Conn, close func()) { write(t, in, "late\r\n"); close() }},
+		{"after the close", func(in net.Conn, close func()) { close(); write(t, in, "late\r\n") }},
+		{"half a line around it", func(in net.Conn, close func()) {
+			write(t, in, "la")
+			close()
+			write(t, in, "te\r\n")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, in := connect()
+			c.send(in, func() { closeAfter(s, []byte("ERR\r\n")) })
+			in.SetReadDeadline(time.Now().Add(5 * time.Second))
+			all, err := io.ReadAll(in)
+			require.NoError(t, err, "an end, no reset")
+			assert.Equal(t, "ERR\r\n", string(all))
+			write(t, in, "and more\r\n") // the relay reads on: a reset would come of it otherwise
+			in.SetReadDeadline(time.Now().Add(lingerTimeout / 10))
+			_, err = in.Read(make([]byte, 1))
+			assert.ErrorIs(t, err, io.EOF)
+			require.NoError(t, in.Close())
+			assert.Eventually(t, func() bool {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				return len(s.open) == 0 && len(s.closing) == 0
+			}, 5*time.Second, time.Millisecond, "its descriptor is free again")
+		})
+	}
+}
+
+func write(t *testing.T, to net.Conn, text string) {
+	t.Helper()
+	_, err := to.Write([]byte(text))
+	require.NoError(t, err)
+}
+
+// Against clients that never close their side holding descriptors: a bound on time, and on number.
+func TestClosingConnectionsAreBounded(t *testing.T) {
+	s, connect := narrow(t)
+	serving(t, s)
+	s.reducer.most = 0
+	var clients []net.Conn
+	for i := range 3 * spareClosing {
+		k, in := connect()
+		s.mutex.Lock()
+		delete(s.open, 1)
+		k.conn = uint64(i + 1)
+		s.open[k.conn] = k
+		s.end(k.conn, End)
+		assert.LessOrEqual(t, len(s.open), spareClosing)
+		s.mutex.Unlock()
+		clients = append(clients, in)
+	}
+	for _, in := range clients {
+		in.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err := in.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+	}
+	assert.Eventually(t, func() bool {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return len(s.open) == 0 && len(s.closing) == 0
+	}, 5*time.Second, time.Millisecond)
+}
+
+// A client may close while its attempt is dialed, with the poller busy elsewhere: that is found out before anything
+// is sent, and nothing is.
+func TestNothingIsSentForAClientThatHasClosed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(net.Conn)
+		sent  bool
+	}{
+		{"close", func(in net.Conn) { in.Close() }, false},
+		{"end of sending", func(in net.Conn) { in.(*net.TCPConn).CloseWrite() }, false},
+		{"reset", func(in net.Conn) {
+			in.(*net.TCPConn).SetLinger(0)
+			in.Close()
+		}, false},
+		{"stays", func(net.Conn) {}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, _ := narrow(t)
+			serving(t, s)
+			backend, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer backend.Close()
+			s.reducer.backends["b1"].Address = backend.Addr().String()
+			in := connectUnpolled(t, s)
+			s.take(Event{Kind: Opened, Conn: 1})
+			c.leave(in)
+			s.take(Event{Kind: Came, Conn: 1, Data: []byte("OPEN a 1f c=feed,t=one,d=2000\r\n")})
+			server, err := backend.Accept()
+			require.NoError(t, err)
+			server.SetReadDeadline(time.Now().Add(5 * time.Second))
+			line, err := bufio.NewReader(server).ReadString('\n')
+			if c.sent {
+				assert.Contains(t, line, "OPEN a 1f ")
+				return
+			}
+			assert.Error(t, err, "the connection is given up")
+			assert.Empty(t, line)
+		})
+	}
+}
+
+// connectUnpolled has a client come as connection 1, of which the poller tells nothing.
+func connectUnpolled(t *testing.T, s *Sockets) net.Conn {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	in, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	out, err := listener.Accept()
+	require.NoError(t, err)
+	nb, err := nbio.NBConn(out)
+	require.NoError(t, err)
+	k := &socket{conn: 1, nb: nb}
+	nb.SetSession(k)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.open[1] = k
+	return in
+}
+
+// What waits to be accepted as the process ends has been accepted by the machine, and is owed an answer; nothing
+// of it is sent on.
+func TestBacklogIsAnsweredAtTheEnd(t *testing.T) {
+	s, _ := narrow(t)
+	serving(t, s)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.listener, s.accepted = listener.(*net.TCPListener), make(chan struct{})
+	close(s.accepted) // the accept loop has not run since these came
+	var clients []net.Conn
+	for i := range 5 {
+		in, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		write(t, in, fmt.Sprintf("OPEN %d 2 c=feed,t=one,d=2000\r\n", i+1))
+		clients = append(clients, in)
+	}
+	silent, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	s.reducer.quit = true
+	s.endAll()
+	_, err = net.Dial("tcp", listener.Addr().String())
+	assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	for _, in := range append(clients, silent) {
+		in.SetReadDeadline(time.Now().Add(5 * time.Second))
+		all, err := io.ReadAll(in)
+		require.NoError(t, err)
+		assert.Equal(t, "BUSY 900\r\n", string(all))
+		in.Close()
+	}
+	s.waitFor(5*time.Second, func() bool { return len(s.open) == 0 })
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	assert.Empty(t, s.open)
+	assert.Zero(t, s.reducer.Tries)
+}
+
 // A dial that is given up ends at once, though its peer says nothing: here a listener that is full.
 func TestDialGivenUpEndsAtOnce(t *testing.T) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
