--- a/cmd/valeshift/helpers_test.go
+++ b/cmd/valeshift/helpers_test.go
@@ -152,8 +152,10 @@
 	status  int // of the next calls, where not 0
 	calls   int
 	changed chan struct{}
-	ops     string // where operators call, in configurations
-	listen  string // and clients
+	muted   chan struct{} // closed: watches that are open say nothing any more
+	layout  string        // between the entries and around them
+	ops     string        // where operators call, in configurations
+	listen  string        // and clients
 }
 
 func (l *list) entry(name, address, status string) string {
@@ -191,14 +193,30 @@
 func (l *list) text() (string, <-chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s]}`, l.index, strings.Join(l.entries, ",")),
-		l.changed
+	return fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[%s]}`, l.index,
+		l.layout+strings.Join(l.entries, ","+l.layout)+l.layout), l.changed
+}
+
+// mute has all watches that are open fall silent: nothing comes of them, and they stay open.
+func (l *list) mute(t *testing.T) {
+	l.watched(t)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	close(l.muted)
+	l.muted = make(chan struct{})
+}
+
+// indent has the list come over several lines from now on.
+func (l *list) indent() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.layout = "\n    "
 }
 
 func (l *list) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l.mutex.Lock()
 	l.calls++
-	status := l.status
+	status, muted := l.status, l.muted
 	l.mutex.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
@@ -210,6 +228,9 @@
 		w.(http.Flusher).Flush()
 		for quiet := true; quiet; {
 			select {
+			case <-muted:
+				<-r.Context().Done()
+				return
 			case <-changed:
 				quiet = false
 			case <-time.After(2 * time.Second):
@@ -245,7 +266,7 @@
 		"may-cancel":true}}`
 
 func newList(t *testing.T, backends ...*backend) *list {
-	l := &list{index: 1, changed: make(chan struct{}), listen: "127.0.0.1:0"}
+	l := &list{index: 1, changed: make(chan struct{}), muted: make(chan struct{}), listen: "127.0.0.1:0"}
 	for _, b := range backends {
 		l.entries = append(l.entries, l.entry(b.name, b.address, "active"))
 	}
@@ -325,10 +346,21 @@
 	return r.said.String()
 }
 
+var patterns sync.Map // compiled, by their text
+
+func compiled(pattern string) *regexp.Regexp {
+	if found, known := patterns.Load(pattern); known {
+		return found.(*regexp.Regexp)
+	}
+	want := regexp.MustCompile(pattern)
+	patterns.Store(pattern, want)
+	return want
+}
+
 // wait waits for the log to say something.
 func (r *process) wait(pattern string) []string {
 	r.t.Helper()
-	want := regexp.MustCompile(pattern)
+	want := compiled(pattern)
 	for until := time.Now().Add(soon); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		if found := want.FindStringSubmatch(r.text()); found != nil {
 			return found
