--- a/cmd/valelab/main.go
+++ b/cmd/valelab/main.go
@@ -291,7 +291,7 @@
 }
 
 // Run plays the file with relays that know of each other and have disks, whatever it says of that, and keeps
-// their logs and disks.
+// their logs and disks: in the folder that --logs names, else in a temporary one.
 func (c *fleetCommand) Run(ctx context.Context) error {
 	x, err := experiment.Read(c.File)
 	if err != nil {
@@ -299,7 +299,9 @@
 	}
 	x.Relays.Peers, x.Relays.Disk = true, true
 	if c.Logs == "" {
-		c.Logs = x.Name + ".machines"
+		if c.Logs, err = os.MkdirTemp("", x.Name+".machines-"); err != nil {
+			return err
+		}
 	}
 	if c.Relay == "" {
 		if c.Relay, err = program(""); err != nil {
