--- a/internal/relay/figures_test.go
+++ b/internal/relay/figures_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"strings"
 	"testing"
 
@@ -133,3 +135,37 @@
 		"watch 2 after 0 at 10.1.0.2:85"}, step{3, "news 2 1 whole b1=active", ""}, step{4, "lame off", ""})
 	assert.True(t, s.serving())
 }
+
+// seenAtNote is a log handler that looks at the board as the reducer's notes are written, in the middle of effects.
+type seenAtNote struct {
+	slog.Handler
+	board func() *board
+	ready []bool
+}
+
+func (h *seenAtNote) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle is called under the lock of the sockets. The watch's failures are noted too, as discovery is not there.
+func (h *seenAtNote) Handle(_ context.Context, note slog.Record) error {
+	if note.Message == "lame duck" {
+		h.ready = append(h.ready, h.board().ready.Load())
+	}
+	return nil
+}
+
+// Against a caller who has seen an effect, and is told figures from before it.
+func TestFiguresArePublishedBeforeEffects(t *testing.T) {
+	s, _ := narrow(t)
+	serving(t, s)
+	seen := &seenAtNote{board: func() *board { return s.board }}
+	s.mutex.Lock()
+	s.log, s.board = slog.New(seen), newBoard(s.reducer)
+	s.reducer.nowReady()
+	s.mutex.Unlock()
+	s.take(Event{Kind: Tick})
+	s.take(Event{Kind: LameDuck})
+	s.take(Event{Kind: LameDuck, Off: true})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	assert.Equal(t, []bool{false, true}, seen.ready, "as its note says")
+}
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -309,12 +309,13 @@
 	s.tell(e)
 }
 
-// tell does so where the lock is held.
+// tell does so where the lock is held. The figures are published first: who has seen an effect finds it counted.
 func (s *Sockets) tell(e Event) {
-	s.carryOut(s.reducer.Take(s.now(), e))
+	effects := s.reducer.Take(s.now(), e)
 	if s.board != nil {
 		s.board.publish(s.reducer)
 	}
+	s.carryOut(effects)
 }
 
 func (s *Sockets) carryOut(effects []Effect) {
@@ -413,82 +414,6 @@
 	return true
 }
 
-// dialing is a connection that is being dialed. Against a context for each, which costs a routine and a timer
-// more than the connecting itself: whoever gives the dial up shuts its socket down.
-type dialing struct {
-	mutex  sync.Mutex
-	raw    syscall.RawConn // once there is a socket
-	gaveUp bool
-}
-
-var errGivenUp = errors.New("dial: given up")
-
-// socket is told of the socket before it connects.
-func (d *dialing) socket(_, _ string, raw syscall.RawConn) error {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.raw = raw; d.gaveUp {
-		return errGivenUp
-	}
-	return nil
-}
-
-func (d *dialing) giveUp() {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.gaveUp = true
-	if d.raw != nil {
-		d.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
-	}
-}
-
-// dial connects beside the reducer. A connection that comes up after it was given up is dropped here. The
-// reducer gives up each that does not come up in time, so that there is no other limit.
-func (s *Sockets) dial(conn, client uint64, address string) {
-	s.limitClosing(1)
-	d := &dialing{}
-	s.dialing[conn] = d
-	s.work.do(func() {
-		dialer := net.Dialer{KeepAlive: -1, Control: d.socket}
-		plain, err := dialer.Dial("tcp", address)
-		if err != nil {
-			s.mutex.Lock()
-			delete(s.dialing, conn)
-			s.mutex.Unlock()
-			s.take(Event{Kind: Over, Conn: conn, Broken: true})
-			return
-		}
-		if s.hold(conn, plain, Up) {
-			s.tellUp(conn, client)
-		}
-	})
-}
-
-// tellUp tells that a dialed connection is up. Where the client that it is for has closed by now, that is told
-// first, as the poller may not have come to it yet: nothing is sent for a client that has gone.
-func (s *Sockets) tellUp(conn, client uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if c := s.open[client]; c != nil {
-		if over, broken := c.peerClosed(); over {
-			s.tell(Event{Kind: Over, Conn: client, Broken: broken})
-		}
-	}
-	s.tell(Event{Kind: Up, Conn: conn})
-}
-
-// peerClosed tells whether the peer has closed or reset the connection, with nothing left to be read before that.
-func (c *socket) peerClosed() (closed, broken bool) {
-	c.nb.Lock()
-	defer c.nb.Unlock()
-	if closed, _ := c.nb.IsClosed(); closed {
-		return true, false
-	}
-	var one [1]byte
-	n, _, err := syscall.Recvfrom(c.nb.Hash(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET), err != nil
-}
-
 // hold gives a connection to nbio, unless it was given up meanwhile, and tells whether it did. A client's is told
 // of before its first bytes can be.
 func (s *Sockets) hold(conn uint64, plain net.Conn, kind Kind) bool {
@@ -573,71 +498,6 @@
 	})
 }
 
-// write hands all parts over at once; what the kernel does not take stays with nbio, within its bound.
-func (s *Sockets) write(conn uint64, parts [][]byte) {
-	c := s.open[conn]
-	if c == nil {
-		return
-	}
-	size := 0
-	for _, p := range parts {
-		size += len(p)
-	}
-	if c.early {
-		for _, p := range parts {
-			c.later = append(c.later, p...)
-		}
-		c.unsent.Add(int64(size))
-		return
-	}
-	if len(parts) == 1 || c.unsent.Load() > 0 {
-		for _, p := range parts {
-			s.writeOne(c, p)
-		}
-		return
-	}
-	n, err := c.nb.Writev(parts)
-	if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
-		c.unsent.Add(int64(size))
-		return
-	}
-	if n >= size {
-		return
-	}
-	// nbio counted the n bytes and kept the rest of the piece they end in; the pieces after it are given again.
-	c.unsent.Add(int64(n))
-	for _, p := range parts {
-		switch {
-		case n >= len(p):
-			n -= len(p)
-		case n > 0:
-			c.unsent.Add(int64(len(p) - n))
-			n = 0
-		default:
-			s.writeOne(c, p)
-		}
-	}
-}
-
-func (s *Sockets) writeOne(c *socket, p []byte) {
-	c.unsent.Add(int64(len(p)))
-	c.nb.Write(p) // an error closes it, and is told by that
-}
-
-// written is told what the kernel took; nbio holds its connection's lock meanwhile.
-func (s *Sockets) written(nb *nbio.Conn, _ []byte, n int) {
-	c, ok := nb.Session().(*socket)
-	if ok && c.unsent.Add(int64(-n)) == 0 && c.closing.Load() {
-		s.work.do(func() {
-			s.mutex.Lock()
-			defer s.mutex.Unlock()
-			if s.open[c.conn] == c {
-				s.flushed(c)
-			}
-		})
-	}
-}
-
 // nbioLog passes on what nbio logs, less its chatter.
 type nbioLog struct{ log *slog.Logger }
 
--- a/internal/relay/sockets_test.go
+++ b/internal/relay/sockets_test.go
@@ -35,15 +35,38 @@
 	s.engine = nbio.NewEngine(nbio.Config{NPoller: 1, MaxWriteBufferSize: mostUnread})
 	s.engine.OnWrittenSize(s.written)
 	s.engine.OnClose(func(nb *nbio.Conn, _ error) {
+		c, ok := nb.Session().(*socket)
+		if !ok {
+			return
+		}
 		s.work.do(func() {
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
-			s.forgetSocket(nb.Session().(*socket))
+			s.forgetSocket(c)
 		})
 	})
 	buffer := make([]byte, readPiece)
-	s.engine.OnRead(func(c *nbio.Conn) { s.read(c, buffer) })
+	polls := make(chan struct{})
+	s.engine.OnRead(func(c *nbio.Conn) {
+		if c.Session() == nil { // the first one, below
+			c.Close()
+			close(polls)
+			return
+		}
+		s.read(c, buffer)
+	})
 	require.NoError(t, s.engine.Start())
+	// nbio 1.6.8 spins for ever where it is stopped before its poller has begun, so that is waited for.
+	first, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	accepted, err := listener.Accept()
+	require.NoError(t, err)
+	_, err = s.engine.AddConn(accepted)
+	require.NoError(t, err)
+	_, err = first.Write([]byte("x"))
+	require.NoError(t, err)
+	<-polls
+	first.Close()
 	t.Cleanup(func() {
 		listener.Close()
 		s.engine.Stop()
