Relay: a suspension is noticed at once, and deadlines wait for what came meanwhile

Cause: a suspension counted as one only where the state machine's next own timer was over a second late. With little traffic that is the watch's silence timer, 2.8 s after a heartbeat: stops up to 3.8 s went unnoticed. The timer then fired before the watch's socket was read: the watch was dropped with the drain unread in it.

Evidence: "watch fell silent" in the millisecond of the resumption, "process was suspended" in no log.

Change: the driver looks before each event and every 150 ms for how long the process has not run; 300 ms or more is told as ProcessSuspended before the event, so no order of wake-ups hides it. Assignments pause for 150 ms, and overdue deadlines that unread bytes may have met are put off by as much (watch, polls, requests, connects, replies); final answers are not.

--- a/internal/relay/driver.go
+++ b/internal/relay/driver.go
@@ -45,6 +45,7 @@
 	closing []*socket               // in the order in which their closing began; some may be closed since
 	chunks  [][]byte                // used again for each write
 
+	suspension     suspensionDetector
 	lastClientConn uint64 // the highest number that a client's connection was given
 	accept         acceptState
 	siblings       siblingState
@@ -186,9 +187,13 @@
 	if d.slot != nil {
 		siblingCheck = time.Tick(siblingCheckInterval)
 	}
+	d.startDetectingSuspension()
+	liveness := time.Tick(livenessInterval * time.Millisecond)
 	shutdown := options.Signals.Shutdown
 	for {
 		select {
+		case <-liveness:
+			d.detectSuspension()
 		case <-siblingCheck:
 			d.checkSiblings()
 		case <-shutdown:
@@ -236,13 +241,37 @@
 // handleLocked does so where the lock is held. Metrics are published before the effects: whoever has seen an effect
 // finds it counted.
 func (d *driver) handleLocked(event Event) {
-	effects := d.machine.Handle(d.now(), event)
+	now := d.now()
+	if suspended := d.suspension.observe(now); suspended > 0 {
+		d.handleAt(now, ProcessSuspended{Millis: suspended})
+	}
+	d.handleAt(now, event)
+}
+
+func (d *driver) handleAt(now float64, event Event) {
+	effects := d.machine.Handle(now, event)
 	if d.metrics != nil {
 		d.metrics.publish(d.machine)
 	}
 	d.carryOut(effects)
 }
 
+func (d *driver) startDetectingSuspension() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.suspension.start(d.now())
+}
+
+// detectSuspension tells the state machine where the process was suspended until now.
+func (d *driver) detectSuspension() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.now()
+	if suspended := d.suspension.observe(now); suspended > 0 {
+		d.handleAt(now, ProcessSuspended{Millis: suspended})
+	}
+}
+
 // now returns the clock that all machines read, in Unix milliseconds, kept steady by this machine's monotonic one.
 func (d *driver) now() float64 {
 	return d.startMillis + float64(time.Since(d.startTime))/float64(time.Millisecond)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -53,6 +53,10 @@
 
 // Events of this process.
 type (
+	// ProcessSuspended says that the process did not run for that long, and goes on now. It comes before whatever
+	// arrived meanwhile.
+	ProcessSuspended struct{ Millis float64 }
+
 	// ShutdownRequested asks for a graceful shutdown.
 	ShutdownRequested struct {
 		YieldToChild bool // a child process takes all clients from now on
@@ -158,6 +162,7 @@
 func (EndpointsUpdated) isEvent()        {}
 func (WatchHeartbeat) isEvent()          {}
 func (WatchFailed) isEvent()             {}
+func (ProcessSuspended) isEvent()        {}
 func (ShutdownRequested) isEvent()       {}
 func (DrainRequested) isEvent()          {}
 func (ConfigReloaded) isEvent()          {}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -123,6 +123,10 @@
 	},
 	"tick":  func(*harness, float64, []string) Event { return TimerFired{} },
 	"ended": func(*harness, float64, []string) Event { return ProcessExiting{} },
+	"suspended": func(_ *harness, _ float64, words []string) Event {
+		millis, _ := strconv.ParseFloat(words[1], 64)
+		return ProcessSuspended{Millis: millis}
+	},
 
 	"news": func(s *harness, _ float64, words []string) Event {
 		return EndpointsUpdated{Watch: s.conn(words[1]), Update: s.parseUpdate(words[2])}
--- a/internal/relay/statemachine.go
+++ b/internal/relay/statemachine.go
@@ -8,19 +8,12 @@
 
 import (
 	"fmt"
-	"math"
 
 	"valeshift/internal/dispatch"
 	"valeshift/internal/hotrestart"
 	"valeshift/internal/settings"
 )
 
-// All in milliseconds.
-const (
-	suspendThreshold = 1000.0 // that a timer is late by where this process was suspended
-	resumeReadTime   = 150.0  // for what came meanwhile to be read
-)
-
 // StateMachine is the state of one relay. Each part is written only by the file named beside it. It is not safe for
 // concurrent use.
 type StateMachine struct {
@@ -118,8 +111,8 @@
 // Handle takes one event at the time now, Unix milliseconds, and returns the effects that follow, in order. They may be
 // read until the next call.
 func (m *StateMachine) Handle(now float64, event Event) []Effect {
-	if now > m.timers.next()+suspendThreshold {
-		m.resumeAfterSuspend(now)
+	if suspended := m.suspendedFor(now, event); suspended > 0 {
+		m.resumeAfterSuspend(now, suspended)
 	}
 	m.now = now
 	m.dispatch(event)
@@ -137,6 +130,7 @@
 	switch e := event.(type) {
 	case TimerFired:
 		m.timers.woken()
+	case ProcessSuspended: // resumeAfterSuspend has handled it
 	case ConnAccepted:
 		m.acceptClient(e.Conn)
 	case ConnEstablished:
@@ -220,17 +214,6 @@
 	return m.returned.list
 }
 
-// resumeAfterSuspend handles that this process was suspended and goes on now: what came meanwhile is read first, and the
-// watch gets the time to say what it has.
-func (m *StateMachine) resumeAfterSuspend(now float64) {
-	m.log("process was suspended", "ms", math.Round(now-m.timers.next()))
-	m.balancer().Pause(now + resumeReadTime)
-	silence := &m.watch.silenceTimer
-	if silence.isSet() && silence.at < now+resumeReadTime {
-		m.timers.set(silence, now+resumeReadTime)
-	}
-}
-
 // log writes a line to the log, with attributes as pairs of name and value.
 func (m *StateMachine) log(message string, args ...any) {
 	m.effects.add(&Log{Message: message, Args: args})
--- a/internal/relay/timers.go
+++ b/internal/relay/timers.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// postpone has the timer, where it is set, not fire before that time.
+func (q *timerQueue) postpone(t *timer, until float64) {
+	if t.isSet() && t.at < until {
+		q.set(t, until)
+	}
+}
+
 // stop keeps the timer from firing.
 func (q *timerQueue) stop(t *timer) {
 	if t.isSet() {
