Relay: start times follow the clock of discovery's answers, without peers too

Cause: the relay's clock was 6 s ahead, and start times are by discovery's clock, so backends whose slow start lasts 4 s counted as warm. Clocks were compared by the fleet's code alone, which runs only with [peers] or [disk].

Change: where discovery dates its answers, the state machine corrects the start times once the clocks differ by 1.5 s, as the fleet's code does; both go by the same offset.

--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -11,7 +11,8 @@
 	// place there. With renewInterval it leaves time for a second call within the 4 s in which a discovery that a reload
 	// names has to be heard.
 	answerTimeout = 3300.0
-	renewInterval = 250.0 // before a discovery that a reload names is asked again
+	renewInterval = 250.0  // before a discovery that a reload names is asked again
+	minClockSkew  = 1500.0 // that is acted on: discovery dates its answers to a second
 )
 
 // endpointWatch owns the watch of the endpoint list at discovery.
@@ -65,6 +66,7 @@
 	m.discoveryHeard()
 	if e.Update.DiscoveryTime > 0 {
 		m.watch.clockOffset = e.Update.DiscoveryTime - m.now
+		m.followDiscoveryClock()
 	}
 	m.endpoints.confirm()
 	if e.Update.Index < m.endpoints.index && (m.watch.after > 0 || !e.Update.Complete) {
@@ -83,6 +85,15 @@
 	}
 }
 
+// followDiscoveryClock corrects backends' start times where this relay's clock differs from discovery's, by which they are
+// told. Else a relay whose clock is ahead takes a backend in slow start for a warm one.
+func (m *StateMachine) followDiscoveryClock() {
+	ahead := -m.watch.clockOffset
+	if math.Abs(ahead-m.endpoints.clockAhead) >= minClockSkew {
+		m.setClockAhead(ahead)
+	}
+}
+
 // restartFromOlderVersion asks for the whole list where discovery has gone back to an older version than the one held.
 // It does so at once where this watch began at a later version: a discovery that counts anew may have drained a backend
 // just now.
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -56,3 +56,34 @@
 		step{504, "tick", "exit"})
 	assert.Equal(t, balancer.Draining, s.endpoints.findOrAdd("b1").condition)
 }
+
+// TestStartTimesByDiscoveryClock: a relay whose clock differs from discovery's takes a backend's slow start for what
+// discovery tells, whether that comes with a list that is dated or not.
+func TestStartTimesByDiscoveryClock(t *testing.T) {
+	const now = 100000.0 // by discovery's clock, a second after the start; the slow start lasts 9 s
+	for _, c := range []struct {
+		name    string
+		ahead   float64 // of this relay's clock
+		dated   bool
+		warming int
+	}{
+		{"the same clock", 0, true, 1},
+		{"ahead, dated", 30000, true, 1},
+		{"ahead, not dated", 30000, false, 0}, // nothing tells this relay
+		{"behind, dated", -30000, true, 1},
+		{"as far as dates are off", 1400, true, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newHarness(t, nil, 0, "b1=active")
+			update := s.parseUpdate("2 whole b1=active@99000")
+			if c.dated {
+				update.DiscoveryTime = now
+			}
+			s.Handle(now+c.ahead, EndpointsUpdated{Watch: 1, Update: update})
+			warming, usable := s.balancer().WarmingUp(now + c.ahead)
+			assert.Equal(t, []int{c.warming, 1}, []int{warming, usable})
+			warming, _ = s.balancer().WarmingUp(now + c.ahead + 8500)
+			assert.Zero(t, warming, "the slow start has ended")
+		})
+	}
+}
--- a/internal/testbed/explore/explore_test.go
+++ b/internal/testbed/explore/explore_test.go
@@ -46,6 +46,18 @@
 	assert.Equal(t, 12, playedLast)
 }
 
+// Seeds that once broke a rule keep all of them.
+func TestFormerFindingsKeepTheRules(t *testing.T) {
+	for _, seed := range []uint64{
+		42274, // a relay whose clock is ahead took a backend in slow start for a warm one
+	} {
+		finding := Play(Generate(seed))
+		if finding != nil {
+			t.Errorf("seed %d: %v %s %v", seed, finding.Counts, finding.Panic, finding.Violations)
+		}
+	}
+}
+
 // Findings are noted by their seed, so a seed must draw the same experiment for good. The sums are of the files
 // of the seeds below 1000, or of what the seeds below 100 are shrunk to in one step.
 func TestSeedsDrawTheSame(t *testing.T) {
