--- a/cmd/valeshift-testbed/hunt.go
+++ b/cmd/valeshift-testbed/hunt.go
@@ -46,6 +46,10 @@
 		Parallelism: runtime.GOMAXPROCS(0),
 	}
 	if c.Processes {
+		var err error
+		if c.Relay, err = findFaultDiskRelay(c.Relay); err != nil {
+			return err
+		}
 		exploration.Generate = explore.GenerateForProcesses
 		exploration.Play = func(x *experiment.Experiment) *explore.Finding { return c.playProcesses(ctx, x) }
 		exploration.Parallelism = c.Parallelism
@@ -53,6 +57,7 @@
 	var findings []*explore.Finding
 	exploration.OnFinding = func(f *explore.Finding) {
 		findings = append(findings, f)
+		printFinding(f) // before it is shrunk, which may take long
 		if len(findings) >= c.MaxFindings {
 			stop()
 		}
@@ -105,27 +110,29 @@
 	if err := os.WriteFile(path, text, 0o644); err != nil {
 		return err
 	}
-	fmt.Printf("%s %v %s\n", path, f.Counts, f.Panic)
+	fmt.Println(path)
+	printFinding(f)
+	return nil
+}
+
+// printFinding prints which rules an experiment breaks.
+func printFinding(f *explore.Finding) {
+	fmt.Printf("seed %d: %v %s\n", f.Seed, f.Counts, f.Panic)
 	for _, v := range f.Violations[:min(len(f.Violations), printedViolations)] {
 		fmt.Println("  ", v)
 	}
-	return nil
 }
 
 // playProcesses plays an experiment with relay processes. One that the machine was too slow for, again and
 // again, is not counted. Logs and disks stay of what breaks a rule.
 func (c *huntCommand) playProcesses(ctx context.Context, x *experiment.Experiment) *explore.Finding {
-	relay, err := faultDiskRelayPath(c.Relay)
-	if err != nil {
-		return &explore.Finding{Experiment: x, Panic: err.Error()}
-	}
 	dir := filepath.Join(c.Out, x.Name)
 	for range processAttempts {
 		os.RemoveAll(dir)
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			return &explore.Finding{Experiment: x, Panic: err.Error()}
 		}
-		result, err := live.Play(ctx, x, relay, dir)
+		result, err := live.Play(ctx, x, c.Relay, dir)
 		switch {
 		case ctx.Err() != nil:
 			return nil
--- a/cmd/valeshift-testbed/load.go
+++ b/cmd/valeshift-testbed/load.go
@@ -121,7 +121,7 @@
 			return err
 		}
 	}
-	if c.Relay, err = faultDiskRelayPath(c.Relay); err != nil {
+	if c.Relay, err = findFaultDiskRelay(c.Relay); err != nil {
 		return err
 	}
 	fmt.Printf("logs, operators' files and disks of the machines: %s\n", c.Logs)
--- a/cmd/valeshift-testbed/main.go
+++ b/cmd/valeshift-testbed/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -58,3 +59,15 @@
 	path, err := relayPath("")
 	return path + faultDiskSuffix, err
 }
+
+// findFaultDiskRelay does so as well; where there is no such program, the error says how to build it.
+func findFaultDiskRelay(named string) (string, error) {
+	path, err := faultDiskRelayPath(named)
+	if err != nil {
+		return "", err
+	}
+	if _, err := os.Stat(path); err != nil {
+		return "", fmt.Errorf("%w; build it by: go build -tags faultdisk -o %s ./cmd/valeshift", err, path)
+	}
+	return path, nil
+}
--- a/cmd/valeshift-testbed/main_test.go
+++ b/cmd/valeshift-testbed/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/alecthomas/kong"
@@ -56,3 +58,14 @@
 		})
 	}
 }
+
+// The program with a disk that fails is not among those that README builds, so the error says how to build it.
+func TestMissingFaultDiskRelay(t *testing.T) {
+	missing := filepath.Join(t.TempDir(), "valeshift-faultdisk")
+	_, err := findFaultDiskRelay(missing)
+	assert.ErrorContains(t, err, "go build -tags faultdisk -o "+missing+" ./cmd/valeshift")
+	require.NoError(t, os.WriteFile(missing, nil, 0o755))
+	path, err := findFaultDiskRelay(missing)
+	require.NoError(t, err)
+	assert.Equal(t, missing, path)
+}
