Testbed: one FlipBits, and one way to start a proxy between machines

flipBits stood in the simulated and in the process testbed, one of them panicking on an empty file; both call faultdisk.FlipBits now, which leaves an empty file as it is. proxiesToOthers wrote again what Run.newProxy does, and calls it; the random streams are the same ones.

--- a/internal/testbed/faultdisk/faultdisk.go
+++ b/internal/testbed/faultdisk/faultdisk.go
@@ -4,6 +4,7 @@
 package faultdisk
 
 import (
+	"math/rand"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -29,6 +30,19 @@
 
 const slowDelay = 10 * time.Second
 
+const flippedBits = 8 // in each file, at most
+
+// FlipBits spoils the data of a file, which it returns, by some bits.
+func FlipBits(data []byte, rng *rand.Rand) []byte {
+	if len(data) == 0 {
+		return data
+	}
+	for range flippedBits {
+		data[rng.Intn(len(data))] ^= 1 << rng.Intn(8)
+	}
+	return data
+}
+
 // folder is a folder of the file system that fails as its faults file says.
 type folder struct{ store.DirFS }
 
--- a/internal/testbed/live/disks.go
+++ b/internal/testbed/live/disks.go
@@ -15,7 +15,6 @@
 const (
 	storeLockFile = "lock"   // the store's
 	olderSuffix   = ".older" // of the copy that DiskOlder restores
-	flippedBits   = 8        // in each file, by DiskFlipped
 )
 
 // copyDisksForLater keeps a copy of each disk as it is now, for machines that return with an older one.
@@ -41,7 +40,7 @@
 	case experiment.DiskTorn:
 		rewriteFiles(p.diskFolder, func(data []byte) []byte { return data[:rng.Intn(len(data))] })
 	case experiment.DiskFlipped:
-		rewriteFiles(p.diskFolder, func(data []byte) []byte { return flipBits(data, rng) })
+		rewriteFiles(p.diskFolder, func(data []byte) []byte { return faultdisk.FlipBits(data, rng) })
 	case experiment.DiskOlder:
 		copyDisk(p.diskFolder+olderSuffix, p.diskFolder)
 	case experiment.DiskAnothers:
@@ -86,10 +85,3 @@
 		}
 	}
 }
-
-func flipBits(data []byte, rng *rand.Rand) []byte {
-	for range flippedBits {
-		data[rng.Intn(len(data))] ^= 1 << rng.Intn(8)
-	}
-	return data
-}
--- a/internal/testbed/live/fleet.go
+++ b/internal/testbed/live/fleet.go
@@ -1,7 +1,6 @@
 package live
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,7 +9,6 @@
 	"strings"
 
 	"valeshift/internal/testbed/experiment"
-	"valeshift/internal/testbed/netem"
 )
 
 // fleetKey is the key that all relays of a run share.
@@ -87,14 +85,10 @@
 		if to == from {
 			continue
 		}
-		rng := r.experiment.Rand("way", 1000*(from+1)+to)
-		proxy, err := netem.New(r.loopback.ProxyHost(from), address, rng)
+		proxy, err := r.newProxy(from, to, address, 1000*(from+1)+to)
 		if err != nil {
 			return nil, err
 		}
-		context.AfterFunc(r.ctx, proxy.Close)
-		pair := [2]int{from, to}
-		r.proxies[pair] = append(r.proxies[pair], proxy)
 		seeds = append(seeds, fmt.Sprintf("%q", proxy.Address))
 	}
 	return seeds, nil
--- a/internal/testbed/sim/disks.go
+++ b/internal/testbed/sim/disks.go
@@ -5,6 +5,7 @@
 
 	"valeshift/internal/store"
 	"valeshift/internal/testbed/experiment"
+	"valeshift/internal/testbed/faultdisk"
 )
 
 // Times are milliseconds of the virtual clock.
@@ -13,7 +14,6 @@
 	slowDiskReadTime = 10000.0
 	diskSyncTime     = 1.0
 	diskMaxBytes     = 64 << 20
-	flippedBits      = 8 // in each file, by experiment.DiskFlipped
 )
 
 // simulatedDisk is one relay's disk.
@@ -47,7 +47,7 @@
 	case experiment.DiskTorn:
 		d.memory.MutateFiles(func(_ string, data []byte) []byte { return data[:rng.Intn(len(data)+1)] })
 	case experiment.DiskFlipped:
-		d.memory.MutateFiles(func(_ string, data []byte) []byte { return flipBits(data, rng) })
+		d.memory.MutateFiles(func(_ string, data []byte) []byte { return faultdisk.FlipBits(data, rng) })
 	case experiment.DiskOlder:
 		if d.older != nil {
 			d.memory = d.older.Clone()
@@ -60,15 +60,6 @@
 	}
 }
 
-func flipBits(data []byte, rng *rand.Rand) []byte {
-	for range flippedBits {
-		if len(data) > 0 {
-			data[rng.Intn(len(data))] ^= 1 << rng.Intn(8)
-		}
-	}
-	return data
-}
-
 // failWrites fails the calls that a full disk fails.
 func failWrites(call string) error {
 	if call == "write" || call == "append" {
