Relay: a shutdown no longer hangs on a listening socket that another process made block

What callers saw: a relay on the platform's socket was still running when the kill came, 2.7 s after SIGTERM, if a second process had started and died meanwhile; clients that had connected last got no answer.

Cause: blocking is a property of the shared socket. Who starts a process with it may set it (os/exec does), and a process that dies at once does not undo it. The relay's accept then blocks in the system call, which no deadline ends: closeListener waited for the accept loop for good, and acceptBacklog blocked alike.

TestShutdownWithASocketThatBlocks failed before ("still running" after 10 s).

Change: each accept on a shared socket first has it not block; the shutdown waits 50 ms for the accept loop and goes on without it. The suspension detector stops where the loop that observes does: the hang had it report suspensions.

--- a/cmd/valeshift/upgrade_test.go
+++ b/cmd/valeshift/upgrade_test.go
@@ -23,6 +23,7 @@
 	file      *os.File
 	dir       string
 	discovery *discoveryStub
+	sockets   int // the relays' limit on descriptors
 }
 
 func newSharedSocket(t *testing.T, backends ...*backend) *sharedSocket {
@@ -35,7 +36,7 @@
 		l.Close()
 		f.Close()
 	})
-	g := &sharedSocket{t: t, file: f, dir: t.TempDir(), discovery: newDiscoveryStub(t, backends...)}
+	g := &sharedSocket{t: t, file: f, dir: t.TempDir(), discovery: newDiscoveryStub(t, backends...), sockets: 300}
 	g.discovery.adminAddress = "127.0.0.1:0"
 	g.discovery.listenAddress = l.Addr().String()
 	return g
@@ -44,7 +45,7 @@
 // startRelay starts one more process, and returns it with the address of its admin API.
 func (g *sharedSocket) startRelay() (*process, string) {
 	g.t.Helper()
-	r := startProcess(g.t, g.discovery.relayConfig(300), g.file, "RELAY_SOCKET_FD=3", "TMPDIR="+g.dir)
+	r := startProcess(g.t, g.discovery.relayConfig(g.sockets), g.file, "RELAY_SOCKET_FD=3", "TMPDIR="+g.dir)
 	r.address, r.discovery = g.discovery.listenAddress, g.discovery
 	return r, r.awaitLog(`msg="admin API listening" listen=(\S+)`)[1]
 }
@@ -232,6 +233,23 @@
 	return "UP"
 }
 
+// A platform that starts a process with the shared socket may have it block, and the process may die before it undoes that.
+// The shutdown of the other one ends all the same.
+func TestShutdownWithASocketThatBlocks(t *testing.T) {
+	withoutExitSleep(t)
+	b := newBackend(t, "b1")
+	g := newSharedSocket(t, b)
+	r, address := g.startRelay()
+	awaitReady(t, address)
+	require.NoError(t, syscall.SetNonblock(int(g.file.Fd()), false))
+	client, _ := r.establish(b) // after which the relay waits for the next client
+	from := time.Now()
+	r.signal(syscall.SIGTERM)
+	assert.Equal(t, []string{"MOVE", "end"}, []string{client.receive(), client.receive()})
+	assert.Zero(t, r.awaitExit(), r.log())
+	assert.Less(t, time.Since(from), longestShutdown)
+}
+
 // A socket that can't be used is named, and nothing starts; a handoff of the parent that can't be read is ignored.
 func TestInvalidSocketOrHandoff(t *testing.T) {
 	l := newDiscoveryStub(t)
--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -19,6 +20,19 @@
 	}
 }
 
+// restoreNonblocking has calls on the listening socket not block. Whether they do is a property of the socket, which all
+// processes that hold it share: one that starts another with it may set it, and a deadline does not end a call that
+// blocks.
+func (d *driver) restoreNonblocking() {
+	conn, err := d.listener.SyscallConn()
+	if err == nil {
+		conn.Control(func(fd uintptr) { err = syscall.SetNonblock(int(fd), true) })
+	}
+	if err != nil {
+		d.log.Warn("listening socket may block", "err", err)
+	}
+}
+
 // waitUntilAccepting waits while accepting is paused, and reports whether clients are accepted again.
 func (d *driver) waitUntilAccepting() bool {
 	d.mutex.Lock()
@@ -31,6 +45,9 @@
 
 // acceptClient accepts one client, and reports whether one came.
 func (d *driver) acceptClient() bool {
+	if d.slot != nil {
+		d.restoreNonblocking()
+	}
 	netConn, err := d.listener.Accept()
 	if err != nil {
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/relay/closing.go
+++ b/internal/relay/closing.go
@@ -18,6 +18,7 @@
 	spareClosingDescriptors = 8    // that closing connections may use beyond those of open ones
 
 	// At the end of the process:
+	acceptEndTimeout   = 50 * time.Millisecond  // for the accept loop to end
 	backlogTimeout     = 100 * time.Millisecond // for the backlog to be emptied
 	backlogIdleTimeout = 10 * time.Millisecond  // without a connection from it, after which it is empty
 	finalWriteTimeout  = 200 * time.Millisecond // for the last answers to be taken
@@ -145,7 +146,13 @@
 	d.accept.changed.Broadcast()
 	d.listener.SetDeadline(time.Unix(1, 0))
 	d.mutex.Unlock()
-	<-d.accept.done
+	select {
+	case <-d.accept.done:
+	case <-time.After(acceptEndTimeout):
+		// Another process has made the socket block in this moment. The call has taken what was in the backlog, and
+		// ends with the process; Close would wait for it.
+		return
+	}
 	if !yielded {
 		d.acceptBacklog()
 	}
--- a/internal/relay/driver.go
+++ b/internal/relay/driver.go
@@ -204,6 +204,7 @@
 		case <-options.Signals.Reload:
 			d.handle(reloadEvent(options.Reload()))
 		case <-d.exit:
+			d.stopDetectingSuspension()
 			d.transfers.pending.Wait()
 			d.finish()
 			d.logCounters("exit")
@@ -262,6 +263,12 @@
 	d.suspension.start(d.now())
 }
 
+func (d *driver) stopDetectingSuspension() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.suspension.stop()
+}
+
 // detectSuspension tells the state machine where the process was suspended until now.
 func (d *driver) detectSuspension() {
 	d.mutex.Lock()
--- a/internal/relay/suspend.go
+++ b/internal/relay/suspend.go
@@ -29,6 +29,9 @@
 	s.observedAt = now
 }
 
+// stop ends that: nobody observes regularly any more.
+func (s *suspensionDetector) stop() { s.isOn = false }
+
 // observe returns for how many milliseconds the process was suspended until now; 0: it was not.
 func (s *suspensionDetector) observe(now float64) float64 {
 	gap := now - s.observedAt
