--- a/cmd/valeshift/soak_test.go
+++ b/cmd/valeshift/soak_test.go
@@ -327,9 +327,10 @@
 	}
 }
 
-// useSession sends lines, some at once, until the session is moved.
+// useSession sends lines, some at once. Half of the clients stay until the session is moved.
 func (s *soakClient) useSession() {
-	for sent := 0; sent < s.run.sessionLines || s.rng.Intn(2) == 0; {
+	stays := s.rng.Intn(2) == 0
+	for sent := 0; stays || sent < s.run.sessionLines; {
 		var lines []string
 		for range 1 + s.rng.Intn(3) {
 			lines = append(lines, fmt.Sprintf("line %d", sent))
