--- a/internal/testbed/explore/explore_test.go
+++ b/internal/testbed/explore/explore_test.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// Five relays in an overload after a power loss spend their whole budget of slow starts, and overload no backend.
+func TestSlowStartInAnOverload(t *testing.T) {
+	const seed = 920299
+	if finding := Play(Generate(seed)); finding != nil {
+		t.Errorf("seed %d: %v %s %v", seed, finding.Counts, finding.Panic, finding.Violations)
+	}
+}
+
 // Findings are noted by their seed, so a seed must draw the same experiment for good. The sums are of the files
 // of the seeds below 1000, or of what the seeds below 100 are shrunk to in one step.
 func TestSeedsDrawTheSame(t *testing.T) {
