--- a/cmd/valeshift/soak_test.go
+++ b/cmd/valeshift/soak_test.go
@@ -71,7 +71,7 @@
 		hasCrowd:        rng.Intn(3) == 0,
 		replacement:     rng.Intn(3) == 0,
 		replacementLife: upTo(30 * time.Millisecond),
-		backendDelay:    upTo(400*time.Millisecond) + time.Millisecond,
+		backendDelay:    time.Millisecond + upTo(pickDuration(rng, 100*time.Millisecond, time.Second, soakHardLimit)),
 		sessionLines:    1 + rng.Intn(60),
 	}
 	for range rng.Intn(5) {
@@ -101,6 +101,15 @@
 	}
 }
 
+// TestAnswerInTimeAfterTheBacklog: a request that waits in the listener's backlog, as a crowd holds the descriptors, is
+// answered within its deadline too.
+func TestAnswerInTimeAfterTheBacklog(t *testing.T) {
+	withoutExitSleep(t)
+	for range 10 {
+		playSoak(t, drawSoakRun(4035))
+	}
+}
+
 func playSoak(t *testing.T, run *soakRun) {
 	b1, b2 := newBackend(t, "b1"), newBackend(t, "b2")
 	attempts := &attemptCounter{byID: map[string]int{}}
