Simulation: the planted relay that is not told of its clock does not hear discovery's either

TestPlantedFaults plants relays that nobody tells that their clock is ahead, and wants a broken rule. The plant takes the dates of the answers away as well; what is asserted stays.

--- a/internal/testbed/sim/recovery_test.go
+++ b/internal/testbed/sim/recovery_test.go
@@ -159,8 +159,13 @@
 		{"each takes hearsay for discovery's word", down, believes(func(k *relay.Snapshot) { k.EndpointsAssumed = false })},
 		{"none is told that its clock is ahead", fault("clock-wrong", "11s", "for = \"16s\"\nshare = 1.0"),
 			func(e relay.Event) relay.Event {
-				if _, measured := e.(relay.ClockSkewMeasured); measured {
+				switch e := e.(type) {
+				case relay.ClockSkewMeasured:
 					return relay.ClockSkewMeasured{}
+				case relay.EndpointsUpdated:
+					undated := *e.Update
+					undated.DiscoveryTime = 0
+					return relay.EndpointsUpdated{Watch: e.Watch, Update: &undated}
 				}
 				return e
 			}},
