Shutdown: only on a shared socket the accept loop is not waited for, and for longer

Where the machine is busy, the accept loop may take more than 50 ms to end, and the shutdown then left the backlog unanswered, on a socket of the relay's own too, which nobody else can make block. There it waits as before; on a shared socket for 150 ms.

--- a/internal/relay/closing.go
+++ b/internal/relay/closing.go
@@ -18,7 +18,7 @@
 	spareClosingDescriptors = 8    // that closing connections may use beyond those of open ones
 
 	// At the end of the process:
-	acceptEndTimeout   = 50 * time.Millisecond  // for the accept loop to end
+	acceptEndTimeout   = 150 * time.Millisecond // for the accept loop to end, on a shared socket
 	backlogTimeout     = 100 * time.Millisecond // for the backlog to be emptied
 	backlogIdleTimeout = 10 * time.Millisecond  // without a connection from it, after which it is empty
 	finalWriteTimeout  = 200 * time.Millisecond // for the last answers to be taken
@@ -146,12 +146,8 @@
 	d.accept.changed.Broadcast()
 	d.listener.SetDeadline(time.Unix(1, 0))
 	d.mutex.Unlock()
-	select {
-	case <-d.accept.done:
-	case <-time.After(acceptEndTimeout):
-		// Another process has made the socket block in this moment. The call has taken what was in the backlog, and
-		// ends with the process; Close would wait for it.
-		return
+	if !d.awaitAcceptEnd() {
+		return // a call that blocks has taken what was in the backlog; Close would wait for it
 	}
 	if !yielded {
 		d.acceptBacklog()
@@ -159,6 +155,21 @@
 	d.listener.Close()
 }
 
+// awaitAcceptEnd waits for the accept loop, and reports whether it has ended. Where another process has made a shared
+// socket block in this moment, the loop ends with the process.
+func (d *driver) awaitAcceptEnd() bool {
+	var timeout <-chan time.Time // none, but on a shared socket
+	if d.slot != nil {
+		timeout = time.After(acceptEndTimeout)
+	}
+	select {
+	case <-d.accept.done:
+		return true
+	case <-timeout:
+		return false
+	}
+}
+
 func (d *driver) acceptBacklog() {
 	deadline := time.Now().Add(backlogTimeout)
 	for time.Now().Before(deadline) {
