One place that observes suspensions, one echo backend, one fleet of a wave's load

After a read of the whole change: the driver told a suspension in two places alike; the soak's backend wrote again what upgrade_test.go's echo does, its second process what startRelay does, and the waves' test how a fleet is built. Each stands once now.

--- a/balancer/slow_start_fleet_test.go
+++ b/balancer/slow_start_fleet_test.go
@@ -225,20 +225,24 @@
 	unevenClients                     bool
 }
 
+// fleet returns a fleet that the load comes to.
+func (l slowStartLoad) fleet(balancers int, bears float64, seed int64) *slowStartFleet {
+	return &slowStartFleet{
+		balancers:          balancers,
+		sessionsPerBackend: bears,
+		warmLoad:           l.warmLoad,
+		quiet:              l.quiet,
+		burst:              l.burst,
+		burstFrom:          l.burstFrom,
+		unevenClients:      l.unevenClients,
+		seed:               seed,
+	}
+}
+
 // worstUsage returns the highest usage of a backend in slow start, over so many seeds.
 func (l slowStartLoad) worstUsage(balancers int, bears float64, seeds int64) (worst float64) {
 	for seed := range seeds {
-		fleet := slowStartFleet{
-			balancers:          balancers,
-			sessionsPerBackend: bears,
-			warmLoad:           l.warmLoad,
-			quiet:              l.quiet,
-			burst:              l.burst,
-			burstFrom:          l.burstFrom,
-			unevenClients:      l.unevenClients,
-			seed:               seed,
-		}
-		worst = max(worst, fleet.play())
+		worst = max(worst, l.fleet(balancers, bears, seed).play())
 	}
 	return worst
 }
--- a/balancer/slow_start_wave_test.go
+++ b/balancer/slow_start_wave_test.go
@@ -65,16 +65,7 @@
 // worstShare returns the highest over so many seeds.
 func (l slowStartLoad) worstShare(balancers int, bears float64, seeds int64) (worst float64) {
 	for seed := range seeds {
-		fleet := slowStartFleet{
-			balancers:          balancers,
-			sessionsPerBackend: bears,
-			warmLoad:           l.warmLoad,
-			quiet:              l.quiet,
-			burst:              l.burst,
-			burstFrom:          l.burstFrom,
-			unevenClients:      l.unevenClients,
-			seed:               seed,
-		}
+		fleet := l.fleet(balancers, bears, seed)
 		fleet.play()
 		worst = max(worst, fleet.worstShare())
 	}
--- a/cmd/valeshift/soak_test.go
+++ b/cmd/valeshift/soak_test.go
@@ -155,7 +155,7 @@
 // startAndKill starts one more process, which dies soon.
 func (g *sharedSocket) startAndKill(after time.Duration) {
 	g.t.Helper()
-	r := startProcess(g.t, g.discovery.relayConfig(g.sockets), g.file, "RELAY_SOCKET_FD=3", "TMPDIR="+g.dir)
+	r := g.start()
 	time.Sleep(after)
 	r.signal(syscall.SIGKILL)
 	<-r.done
@@ -176,26 +176,6 @@
 	time.Sleep(time.Until(from.Add(duration)))
 }
 
-// echoAfter establishes each session that comes after a while, and echoes its lines until the client has left.
-func (b *backend) echoAfter(attempts *attemptCounter, delay time.Duration) {
-	for request := range b.requests {
-		p := <-b.sessions
-		attempts.count(strings.Fields(request)[1])
-		go func() {
-			defer p.Close()
-			time.Sleep(time.Duration(rand.Int63n(int64(delay))))
-			p.Write([]byte("UP r\r\n"))
-			for {
-				line, err := p.reader.ReadString('\n')
-				if err != nil {
-					return
-				}
-				p.Write([]byte(line))
-			}
-		}()
-	}
-}
-
 // soakClients are clients that come and go, and use what connections they have until the relay ends them.
 type soakClients struct {
 	run        *soakRun
--- a/cmd/valeshift/upgrade_test.go
+++ b/cmd/valeshift/upgrade_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strings"
@@ -42,10 +43,16 @@
 	return g
 }
 
+// start starts one more process.
+func (g *sharedSocket) start() *process {
+	g.t.Helper()
+	return startProcess(g.t, g.discovery.relayConfig(g.sockets), g.file, "RELAY_SOCKET_FD=3", "TMPDIR="+g.dir)
+}
+
 // startRelay starts one more process, and returns it with the address of its admin API.
 func (g *sharedSocket) startRelay() (*process, string) {
 	g.t.Helper()
-	r := startProcess(g.t, g.discovery.relayConfig(g.sockets), g.file, "RELAY_SOCKET_FD=3", "TMPDIR="+g.dir)
+	r := g.start()
 	r.address, r.discovery = g.discovery.listenAddress, g.discovery
 	return r, r.awaitLog(`msg="admin API listening" listen=(\S+)`)[1]
 }
@@ -84,12 +91,18 @@
 }
 
 // echo establishes each session that comes, and echoes its lines until the client has left.
-func (b *backend) echo(attempts *attemptCounter) {
+func (b *backend) echo(attempts *attemptCounter) { b.echoAfter(attempts, 0) }
+
+// echoAfter does so after a while, of that length at the most.
+func (b *backend) echoAfter(attempts *attemptCounter, longest time.Duration) {
 	for request := range b.requests {
 		p := <-b.sessions
 		attempts.count(strings.Fields(request)[1])
 		go func() {
 			defer p.Close()
+			if longest > 0 {
+				time.Sleep(rand.N(longest))
+			}
 			p.Write([]byte("UP r\r\n"))
 			for {
 				line, err := p.reader.ReadString('\n')
--- a/internal/relay/driver.go
+++ b/internal/relay/driver.go
@@ -243,9 +243,7 @@
 // finds it counted.
 func (d *driver) handleLocked(event Event) {
 	now := d.now()
-	if suspended := d.suspension.observe(now); suspended > 0 {
-		d.handleAt(now, ProcessSuspended{Millis: suspended})
-	}
+	d.observeSuspension(now)
 	d.handleAt(now, event)
 }
 
@@ -273,7 +271,11 @@
 func (d *driver) detectSuspension() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	now := d.now()
+	d.observeSuspension(d.now())
+}
+
+// observeSuspension does so where the lock is held.
+func (d *driver) observeSuspension(now float64) {
 	if suspended := d.suspension.observe(now); suspended > 0 {
 		d.handleAt(now, ProcessSuspended{Millis: suspended})
 	}
