Testbed: no child keeps listening on an address that has just been looked at

Cause, by elimination and a reproduction: AssignAddress listens on an address and closes it to see whether it is free. A child that another parallel test forks in between has a copy of the socket until it executes its program, and goes on listening for that long.

Now isFree holds syscall.ForkLock for reading, so no child gets a copy of its sockets.

--- a/internal/testbed/procstat/loopback.go
+++ b/internal/testbed/procstat/loopback.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // Each network is a /16 of the loopback range, by its second octet. 127.0.0.0/16 is left out: outgoing
@@ -92,8 +93,11 @@
 }
 
 // isFree is whether an address can be listened on for both TCP and UDP. Somebody who listens on all of the host's
-// addresses takes it too.
+// addresses takes it too. No process is forked meanwhile: until it executes its program, the child would hold copies
+// of the sockets and go on listening on the address.
 func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
--- a/internal/testbed/procstat/loopback_test.go
+++ b/internal/testbed/procstat/loopback_test.go
@@ -1,8 +1,11 @@
 package procstat
 
 import (
+	"context"
 	"net"
+	"os/exec"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -99,6 +102,36 @@
 	}
 }
 
+// Relays of parallel tests are started while others get their addresses: no child may go on listening on one.
+func TestAssignedAddressStaysFreeWhileProcessesStart(t *testing.T) {
+	const (
+		starters  = 4
+		addresses = 2000
+	)
+	network := claim(t)
+	ctx, stop := context.WithCancel(t.Context())
+	var starting sync.WaitGroup
+	for range starters {
+		starting.Go(func() {
+			for ctx.Err() == nil {
+				assert.NoError(t, exec.Command("/bin/true").Run())
+			}
+		})
+	}
+	var taken []error
+	for range addresses {
+		listener, err := net.Listen("tcp", assign(t, network, 0))
+		if err != nil {
+			taken = append(taken, err)
+			continue
+		}
+		listener.Close()
+	}
+	stop()
+	starting.Wait()
+	assert.Empty(t, taken)
+}
+
 func TestPortsUsedUp(t *testing.T) {
 	network := claim(t)
 	network.nextPort = lastPort
