Testbed: the cost measurement holds the addresses of the relay and the forwarder

The measurement took two ports of 127.0.0.1 that were free a moment before: another process on the machine, or an outgoing connection, could take one first, and the program then could not listen. It now claims a loopback network, whose addresses nobody else is assigned; FreeAddress, which had no other caller, is gone. The package's tests pass.

--- a/internal/testbed/cost/cost.go
+++ b/internal/testbed/cost/cost.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"valeshift/internal/testbed/procstat"
 )
 
 // Result is what one path came to.
@@ -61,12 +63,17 @@
 		return nil, err
 	}
 	defer backends.close()
-	forwarder, err := startForwarder(ctx, plan, backends)
+	loopback, err := procstat.ClaimLoopbackNetwork()
+	if err != nil {
+		return nil, err
+	}
+	defer loopback.Close() // once the programs have ended
+	forwarder, err := startForwarder(ctx, plan, backends, loopback)
 	if err != nil {
 		return nil, err
 	}
 	defer forwarder.stop()
-	relay, err := startRelay(ctx, plan, backends)
+	relay, err := startRelay(ctx, plan, backends, loopback)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testbed/cost/programs.go
+++ b/internal/testbed/cost/programs.go
@@ -24,6 +24,12 @@
 	heartbeatInterval = 2 * time.Second // of the endpoint list
 )
 
+// The machines of the loopback network that programs listen on.
+const (
+	forwarderMachine = iota
+	relayMachine
+)
+
 // program is a process that is to serve at an address.
 type program struct {
 	name    string
@@ -59,8 +65,13 @@
 	return nil, fmt.Errorf("start %s: it does not serve; its log is %s", g.name, g.logFile)
 }
 
-func startForwarder(ctx context.Context, plan Plan, b *backends) (*path, error) {
-	address, err := procstat.FreeAddress()
+func startForwarder(
+	ctx context.Context,
+	plan Plan,
+	b *backends,
+	loopback *procstat.LoopbackNetwork,
+) (*path, error) {
+	address, err := loopback.AssignAddress(forwarderMachine)
 	if err != nil {
 		return nil, err
 	}
@@ -75,8 +86,8 @@
 }
 
 // startRelay starts a relay, and a discovery service that lists the backends to it.
-func startRelay(ctx context.Context, plan Plan, b *backends) (*path, error) {
-	address, err := procstat.FreeAddress()
+func startRelay(ctx context.Context, plan Plan, b *backends, loopback *procstat.LoopbackNetwork) (*path, error) {
+	address, err := loopback.AssignAddress(relayMachine)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/testbed/procstat/procstat.go
+++ b/internal/testbed/procstat/procstat.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"strconv"
 )
@@ -19,17 +18,6 @@
 	ticksPerSecond = 100 // USER_HZ, the same on all Linux platforms that Go runs on
 )
 
-// FreeAddress returns an address on 127.0.0.1 whose port is free. The port is released at once, so another process
-// may take it first, and the next call may return it again: where that matters, use a LoopbackNetwork.
-func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // Usage returns the CPU time that a process has used, in seconds, and the memory that it holds, in bytes; zeros
 // for a process that has ended.
 func Usage(pid int) (cpuSeconds float64, residentBytes int64) {
