Relay: a client's time runs while its request waits in the listener's backlog

Cause: the deadline was counted from when the relay read the request. While accepting is paused, the request lies in the backlog, and that wait came on top.

Change: the driver asks the kernel once for each client, with its first bytes (golang.org/x/sys/unix), and DataReceived brings the wait; the deadline runs from the arrival, the backend is told what is left of it, and a request whose time is up is rejected at once. It works as the wait is known, however it came about: paused accepts, a suspension, a busy machine.

TestRequestThatWaitedToBeAccepted is new: without the change the time counts from the read.

--- a/internal/relay/conns.go
+++ b/internal/relay/conns.go
@@ -138,7 +138,7 @@
 		m.receivePollAnswer(conn, e.Data)
 	case session.state == handingOff:
 	case conn.backend == nil:
-		m.receiveFromClient(session, e.Data)
+		m.receiveFromClient(session, e.Data, m.now-e.Waited)
 	case session.state == established:
 		m.forwardToClient(session, e.Data)
 	default:
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -17,8 +17,9 @@
 
 	// DataReceived brings bytes. Data is read until the effects of the event have been carried out, not later.
 	DataReceived struct {
-		Conn uint64
-		Data []byte
+		Conn   uint64
+		Data   []byte
+		Waited float64 // since the last of a client's first bytes came: in the listener's backlog, or for the reader
 	}
 
 	// ConnClosed says that a connection has ended or never came up.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -114,6 +114,12 @@
 	"came": func(s *harness, _ float64, words []string) Event {
 		return DataReceived{Conn: s.conn(words[1]), Data: []byte(strings.ReplaceAll(words[2], "|", "\r\n"))}
 	},
+	"waited": func(s *harness, _ float64, words []string) Event { // CONN MILLIS DATA
+		millis, data, _ := strings.Cut(words[2], " ")
+		waited, err := strconv.ParseFloat(millis, 64)
+		require.NoError(s.t, err, millis)
+		return DataReceived{Conn: s.conn(words[1]), Data: []byte(strings.ReplaceAll(data, "|", "\r\n")), Waited: waited}
+	},
 	"end": func(s *harness, _ float64, words []string) Event { return ConnClosed{Conn: s.conn(words[1])} },
 	"reset": func(s *harness, _ float64, words []string) Event {
 		return ConnClosed{Conn: s.conn(words[1]), Reset: true}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -71,8 +71,9 @@
 	}
 }
 
-// receiveFromClient handles what a client sends: pings and its request, later what the backend is to get.
-func (m *StateMachine) receiveFromClient(session *session, data []byte) {
+// receiveFromClient handles what a client sends: pings and its request, later what the backend is to get. The last byte
+// arrived at that time.
+func (m *StateMachine) receiveFromClient(session *session, data []byte, arrivedAt float64) {
 	for session.state == awaitingRequest {
 		line, rest, err := session.clientConn.input.Next(data)
 		if err != nil {
@@ -90,7 +91,7 @@
 		case len(data) > 0: // a client waits after its request: this is none, and no backend is to see any of it
 			m.rejectClient(session, UnexpectedData, errorAnswer)
 		default:
-			m.startSession(session, line)
+			m.startSession(session, line, arrivedAt)
 		}
 	}
 	switch {
@@ -130,8 +131,9 @@
 }
 
 // startSession takes a session in once its request has been checked whole: a backend would close on what it can't use,
-// and be blamed for it. The line is copied, as read buffers are used again; the request points into the copy.
-func (m *StateMachine) startSession(session *session, line []byte) {
+// and be blamed for it. The line is copied, as read buffers are used again; the request points into the copy. The client's
+// time runs from when its request arrived.
+func (m *StateMachine) startSession(session *session, line []byte, arrivedAt float64) {
 	request, err := protocol.ParseRequest(append([]byte(nil), line...))
 	if err != nil {
 		m.rejectClient(session, MalformedRequest, errorAnswer)
@@ -158,7 +160,7 @@
 	session.Key = request.Key
 	session.AffinityGroup = request.AffinityGroup
 	session.LoadHint = request.LoadHint * 1000
-	session.Deadline = m.now + max(min(request.Timeout, m.rules.hardLimits[class])-answerMargin, minWait)
+	session.Deadline = arrivedAt + max(min(request.Timeout, m.rules.hardLimits[class])-answerMargin, minWait)
 	m.Requests++
 	m.addSession(session, string(request.ID))
 	m.timers.stop(&session.clientConn.deadline)
@@ -169,7 +171,8 @@
 // admit has a new session assigned, or its answer sought where it has been established before; or rejects it.
 func (m *StateMachine) admit(session *session) {
 	switch {
-	case m.drain.exiting: // nobody is left to see it through to its answer
+	case m.drain.exiting, // nobody is left to see it through to its answer
+		m.now >= session.Deadline: // it waited in the listener's backlog until its time was up
 		m.Execute(session, balancer.Decision{Kind: balancer.Reject, Wait: m.rules.maxRetryAfter})
 	case len(session.request.StickyBackend) > 0:
 		m.reestablish(session)
--- a/internal/relay/intake_test.go
+++ b/internal/relay/intake_test.go
@@ -59,6 +59,25 @@
 	assert.Empty(t, s.queue.byID)
 }
 
+// A client's time runs while its request waits in the listener's backlog.
+func TestRequestThatWaitedToBeAccepted(t *testing.T) {
+	s := newHarness(t, nil, 0, "b1=active")
+	s.play("the backend is told what is left", step{1100, "open 1", ""},
+		step{1100, "waited 1 600 OPEN a 1f c=feed,d=2000|", "dial s1 10.0.0.1:9000"},
+		step{1101, "up s1", "write s1 OPEN a 1f c=feed,d=1389|"})
+	s = newHarness(t, nil, 0, "b1=active")
+	s.play("answered before the time is up", step{2100, "open 1", ""},
+		step{2100, "waited 1 1900 OPEN a 1f c=feed,d=2000|", "dial s1 10.0.0.1:9000"}, step{2189, "tick", ""},
+		step{2190, "tick", "reset s1; write 1 BUSY 900|; end 1"})
+	s = newHarness(t, nil, 0, "b1=active")
+	s.play("answered at once where the time is up", step{2100, "open 1", ""},
+		step{2100, "waited 1 1990 OPEN a 1f c=feed,d=2000|", "write 1 BUSY 900|; end 1"})
+	s = newHarness(t, nil, 0, "b1=active")
+	s.play("a ping waited, the request did not", step{1100, "open 1", ""}, step{1100, "waited 1 600 PING|", "write 1 PONG|"},
+		step{1200, "came 1 OPEN a 1f c=feed,d=2000|", "dial s1 10.0.0.1:9000"},
+		step{1201, "up s1", "write s1 OPEN a 1f c=feed,d=1989|"})
+}
+
 func TestDescriptorsRunOut(t *testing.T) {
 	s := newHarness(t, nil, spareDescriptors+minAwaiting+2, "b1=active")
 	s.play("told to come again, never broken; silent ones let go first", step{100, "open 1", ""},
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -18,6 +18,7 @@
 	"syscall"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -33,6 +34,8 @@
 	unsent atomic.Int64 // bytes that the kernel has not taken
 	polled bool         // nbio reads it
 
+	awaitsFirstData bool // a client's that has brought nothing; of the reader's
+
 	closing        atomic.Bool // it is closed once nothing is unsent
 	discardedBytes int         // that have come since it is closing
 
@@ -54,7 +57,7 @@
 		}
 		return false
 	}
-	c := &socket{conn: conn, nbConn: nbConn}
+	c := &socket{conn: conn, nbConn: nbConn, awaitsFirstData: !dialed}
 	nbConn.SetSession(c)
 	if !d.addSocket(c, dialed) {
 		nbConn.Close()
@@ -112,7 +115,7 @@
 				return
 			}
 		case n > 0:
-			d.handle(DataReceived{Conn: c.conn, Data: buffer[:n]})
+			d.handle(DataReceived{Conn: c.conn, Data: buffer[:n], Waited: c.firstDataWaited()})
 		case err == nil:
 			nbConn.CloseWithError(io.EOF)
 			return
@@ -126,6 +129,20 @@
 	}
 }
 
+// firstDataWaited returns for how many milliseconds the last of a client's first bytes has been here, and 0 for all later
+// ones. The kernel's clock for that ticks every few milliseconds.
+func (c *socket) firstDataWaited() float64 {
+	if !c.awaitsFirstData {
+		return 0
+	}
+	c.awaitsFirstData = false
+	info, err := unix.GetsockoptTCPInfo(c.nbConn.Hash(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return float64(info.Last_data_recv)
+}
+
 // onClose is called by a goroutine of nbio's that swallows panics, so the event comes from another.
 func (d *driver) onClose(nbConn *nbio.Conn, err error) {
 	c, ok := nbConn.Session().(*socket)
