Simulation: what discovery sends over a watch arrives in order

A watch is one connection, but each part drew a travel time of its own on its path, so a list could overtake an earlier one by some milliseconds. The relay then met an older version on the same watch, dropped it as its rules say and asked anew, while the auditor took it for told.

A TCP stream can't do that.

Each part is now received once all before it are; travel times are drawn as before, so runs without an overtaking stay the same.

--- a/internal/testbed/sim/watch.go
+++ b/internal/testbed/sim/watch.go
@@ -20,19 +20,46 @@
 	relayNumber uint64
 	discoveryID uint64
 	lastArrival float64
+	inOrder     inOrder
 }
 
 func (w *watch) deliver(do func()) {
+	arrive := w.inOrder.next(func() {
+		if w.process.openWatch == w && !w.process.isExited {
+			do()
+		}
+	})
 	w.lastArrival = max(w.lastArrival, w.process.network.now+w.process.network.drawTravelTime())
 	w.process.network.after(w.lastArrival-w.process.network.now, func() {
-		w.process.sendOverPath(experiment.Discovery, w.process.number, func() {
-			if w.process.openWatch == w && !w.process.isExited {
-				do()
-			}
-		})
+		w.process.sendOverPath(experiment.Discovery, w.process.number, arrive)
 	})
 }
 
+// inOrder has what is sent over one connection be received in that order, whatever the path does to each part.
+type inOrder struct {
+	sent     int
+	received int
+	early    map[int]func() // that has arrived before what was sent ahead of it, by its number
+}
+
+// next numbers what is sent now, and returns what to call when it arrives.
+func (o *inOrder) next(receive func()) (arrive func()) {
+	number := o.sent
+	o.sent++
+	return func() {
+		if o.early == nil {
+			o.early = map[int]func(){}
+		}
+		o.early[number] = receive
+		for o.early[o.received] != nil {
+			receive := o.early[o.received]
+			delete(o.early, o.received)
+			o.received++
+			receive()
+		}
+	}
+}
+
 // sendOverPath carries bytes from one machine to another, as the path between them allows: held while it is cut.
 func (p *relayProcess) sendOverPath(from, to int, do func()) {
 	way := p.impairments[[2]int{from, to}]
