--- /dev/null
+++ b/internal/replication/operation_test.go
@@ -0,0 +1,34 @@
+package replication
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// A request that nobody replies to is sent again within its time, however short that is.
+func TestRequestIsSentAgainInTime(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		timeout float64
+		sentAt  []float64 // after its start, but what comes behind 20 ms
+	}{
+		{"a short time", 8, []float64{0, 2, 6}},
+		{"a long time", 1000, []float64{0, 4, 12}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFleet(t, 9, 3, 3, 1, injectedFaults{})
+			r := f.relays[0].Replicator
+			_, actions := r.Lookup(f.now, Affinity, "k", c.timeout)
+			var sentAt []float64
+			for now := f.now; now < f.now+min(c.timeout, 20); now = r.NextDeadline() {
+				actions = append(actions, r.Tick(now)...)
+				if len(actions) > 0 {
+					sentAt = append(sentAt, now-f.now)
+				}
+				actions = nil
+			}
+			assert.Equal(t, c.sentAt, sentAt)
+		})
+	}
+}
