Balancer: a measured load counts as unreported, too, as long as no report includes its session

Cause: a relay estimates a backend's capacity by the load of its own sessions that reports include, over what is reported. Sessions of the last 1.5 s are left out, but with the load that was expected of them. When a session's load was measured, only the relay's total rose, and the excess passed for reported load. A young relay expects next to nothing of a session, so nearly all that it held passed for reported while reports showed 1 or 2%; and the highest estimate is kept.

Evidence: a trace of the draws and estimates. Two relays that had not lost power sent 26 of the 29 sessions and took a backend for 11.1 cores (it has 0.68), so that their budget was sixteen times too wide; the relay that was back, 0.72. One came to 16 cores 692 ms after its start: 1.01 cores of sessions, 0.51 of them unreported, at 0.157 reported.

Change: changeLoad replaces the load among the unreported sessions as well.

--- a/balancer/load_accounting.go
+++ b/balancer/load_accounting.go
@@ -31,7 +31,7 @@
 
 // release undoes reserve. The backend's next report does not include the session any more, either.
 func (b *Balancer) release(session *Session) {
-	b.poller.unreported.remove(session.attempt.backend, session.attempt.startedAt)
+	b.poller.unreported.remove(session.attempt.backend, session.assignment())
 	b.usage.counts[session.attempt.backend]--
 	b.usage.loads[session.attempt.backend] -= session.load
 	if session.Tenant < len(b.quotas.openSessions) {
@@ -39,8 +39,10 @@
 	}
 }
 
-// changeLoad replaces the session's load on its backend.
+// changeLoad replaces the session's load on its backend, also where no report includes the session yet: else the excess
+// would pass for load that is reported, and the backend for a larger one.
 func (b *Balancer) changeLoad(session *Session, load float64) {
+	b.poller.unreported.change(session.attempt.backend, session.assignment(), load)
 	b.usage.loads[session.attempt.backend] += load - session.load
 	session.load = load
 }
@@ -83,18 +85,28 @@
 	u.total += added.load
 }
 
-// remove removes the assignment made at that time, if a report does not include it yet.
-func (u *unreportedLoads) remove(backend int, at float64) {
-	i := slices.IndexFunc(u.assignments[backend], func(a assignment) bool { return a.at == at })
+// remove removes the assignment, if a report does not include it yet.
+func (u *unreportedLoads) remove(backend int, removed assignment) {
+	i := slices.Index(u.assignments[backend], removed)
 	if i < 0 {
 		return
 	}
-	load := u.assignments[backend][i].load
-	u.byBackend[backend] -= load
-	u.total -= load
+	u.byBackend[backend] -= removed.load
+	u.total -= removed.load
 	u.assignments[backend] = slices.Delete(u.assignments[backend], i, i+1)
 }
 
+// change replaces the load of the assignment, if a report does not include it yet.
+func (u *unreportedLoads) change(backend int, changed assignment, load float64) {
+	i := slices.Index(u.assignments[backend], changed)
+	if i < 0 {
+		return
+	}
+	u.assignments[backend][i].load = load
+	u.byBackend[backend] += load - changed.load
+	u.total += load - changed.load
+}
+
 // dropReported removes the assignments made before that time, which the latest report includes.
 func (u *unreportedLoads) dropReported(backend int, before float64) {
 	u.total -= u.byBackend[backend]
--- a/balancer/load_accounting_test.go
+++ b/balancer/load_accounting_test.go
@@ -44,3 +44,31 @@
 		assert.InDelta(t, unreported, b.UnreportedLoad(), 1e-6, c.name)
 	}
 }
+
+// A session counts with its measured load as long as no report includes it: the excess over what was expected would pass
+// for load that backends report, which makes each look larger.
+func TestMeasuredLoadIsUnreportedToo(t *testing.T) {
+	const measured = 5e4
+	now := 2e5
+	b := newRecoveringRelay(1, 4, 0, 1)
+	sessions := make([]*Session, 4)
+	for i := range sessions {
+		sessions[i] = &Session{load: 1} // nothing is known of sessions yet
+		b.startAttempt(now, sessions[i], i)
+		b.LoadMeasured(sessions[i], measured)
+	}
+	assert.InDelta(t, 4*measured, b.UnreportedLoad(), 1e-6)
+
+	for id := range uint32(4) {
+		b.LoadReported(now+300, id+1, []float64{0.02})
+	}
+	b.refreshCapacity(b.sumFleet(now + 300))
+	assert.Zero(t, b.fleet.capacityBySessions, "no report includes any of them")
+
+	b.LoadMeasured(sessions[0], 2*measured)
+	assert.InDelta(t, 5*measured, b.UnreportedLoad(), 1e-6, "as a session's load changes")
+	for _, session := range sessions {
+		b.release(session)
+	}
+	assert.InDelta(t, 0, b.UnreportedLoad(), 1e-6)
+}
--- a/balancer/session.go
+++ b/balancer/session.go
@@ -72,6 +72,11 @@
 // Load returns what the session puts on its backend, and whether that was measured.
 func (s *Session) Load() (load float64, measured bool) { return s.load, s.measured }
 
+// assignment is the latest attempt as load on its backend.
+func (s *Session) assignment() assignment {
+	return assignment{at: s.attempt.startedAt, load: s.load}
+}
+
 // Class is what the settings say of one kind of session.
 type Class struct {
 	LatencyObjective    float64 // for the time until the session is established
--- a/balancer/session_events.go
+++ b/balancer/session_events.go
@@ -11,7 +11,7 @@
 	session.attempt.startedAt = now
 	session.state.reserved = true
 	b.reserve(session)
-	b.poller.unreported.add(backend, assignment{at: now, load: session.load})
+	b.poller.unreported.add(backend, session.assignment())
 	return Decision{
 		Kind:    Assign,
 		Backend: b.ids[backend],
