Balancer: a young relay uses its wider slow-start budget only where load is reported

Cause: in large fleets the budget is three times the usual one, as reports bound what a backend is sent. In a wave's first 0.2 to 0.7 s no report shows what the others have just sent, and each relay spends what it saved meanwhile.

Change: of a relay's first four sessions, what the wider budget alone draws goes to the backend only if its report, polled for the session after the draw, shows a load of 0.1. Relays with a past are bound as before.

New tests: TestYoungRelayWaitsForReportedLoad and TestOnlyYoungRelaysAskForReportedLoad, which fails where all relays ask.

--- a/balancer/assignment.go
+++ b/balancer/assignment.go
@@ -159,7 +159,8 @@
 		return false
 	}
 	warming := &s.session.warming
-	mayWarm := backend == warming.backend && s.session.attempt.number == 0 && !warming.onlyIfFull
+	mayWarm := backend == warming.backend && s.session.attempt.number == 0 && !warming.onlyIfFull &&
+		(!warming.onlyIfLoaded || b.hasReportedLoad(backend))
 	return mayWarm || b.slowStart.capacityShare(backend, s.now) >= 1
 }
 
--- a/balancer/session.go
+++ b/balancer/session.go
@@ -64,9 +64,10 @@
 
 // slowStartGrant is the backend in slow start that a session may go to.
 type slowStartGrant struct {
-	backend    int     // drawn for it, or noBackend
-	onlyIfFull bool    // it may go there only if all warm backends are full
-	usedBudget float64 // of slow starts, by this draw, as milliseconds
+	backend      int     // drawn for it, or noBackend
+	onlyIfFull   bool    // it may go there only if all warm backends are full
+	onlyIfLoaded bool    // it may go there only if the backend reports load
+	usedBudget   float64 // of slow starts, by this draw, as milliseconds
 }
 
 // Load returns what the session puts on its backend, and whether that was measured.
--- a/balancer/slow_start.go
+++ b/balancer/slow_start.go
@@ -6,6 +6,9 @@
 	savedSlowStartSpans  = 1.0 // overload spans for which unused budget is saved
 	observedPaceFactor   = 3.0 // widens the budget of a backend whose report includes what all relays assigned
 	minRelativeSlowStart = 0.1 // least load of a session in the budget, as a share of the mean session's
+
+	youngRelaySessions = 4   // sessions of a relay until it can tell a wave of them from a trickle
+	idleWarmingLoad    = 0.1 // a backend in slow start that reports less may have been sent sessions since
 )
 
 // SlowStart bounds what a backend that has just started is sent, and how much of its capacity it has.
@@ -15,6 +18,7 @@
 
 	startedAt   []float64 // when the backend's slow start began; -Inf: never
 	requestedAt float64   // when a session last drew on the budget
+	draws       int       // of sessions, so far
 }
 
 // SlowStartConfig is what the settings say of backends that have just started.
@@ -69,6 +73,7 @@
 // A session of more than the mean load has less of a chance, as it uses more of the budget.
 func (b *Balancer) drawWarmingBackend(now float64, session *Session) int {
 	s := b.slowStart
+	s.draws++
 	drawn := b.drawAmongWarming(now, session)
 
 	class := b.attempts.classes[session.Class]
@@ -91,6 +96,10 @@
 		return noBackend
 	}
 	session.warming.onlyIfFull = !withinEvenShare
+	// A young relay does not know whether its sessions begin a wave, to which all relays would spend what they have
+	// saved before any report shows it. Where its budget is wider than usual, it asks for a report of load.
+	withinUsualBudget := chance*observedPaceFactor < due || !b.isLoadObserved(drawn.backend, now)
+	session.warming.onlyIfLoaded = !withinUsualBudget && s.draws <= youngRelaySessions
 	session.warming.usedBudget = offered / due
 	return drawn.backend
 }
@@ -119,6 +128,11 @@
 	return drawn
 }
 
+// hasReportedLoad reports whether the latest report of a backend in slow start shows more than a negligible load.
+func (b *Balancer) hasReportedLoad(backend int) bool {
+	return b.poller.reports.loads[backend] >= idleWarmingLoad // false where none is known
+}
+
 // slowStartPace is this relay's budget, in sessions of the mean load a millisecond, for the whole capacity of
 // one backend, while that many backends warm up.
 func (b *Balancer) slowStartPace(warming float64) float64 {
--- a/balancer/slow_start_test.go
+++ b/balancer/slow_start_test.go
@@ -94,3 +94,59 @@
 		assert.Equal(t, draining, toWarming == 0, "draining %t: %d sessions", draining, toWarming)
 	}
 }
+
+// What a young relay draws beyond its usual budget, it uses only where the backend reports load: before that all relays
+// would spend what they saved over a silence.
+func TestYoungRelayWaitsForReportedLoad(t *testing.T) {
+	const unknown = -1.0
+	for _, c := range []struct {
+		name         string
+		onlyIfLoaded bool
+		load         float64
+		open         bool
+	}{
+		{"usual budget, no report", false, unknown, true},
+		{"wider budget, no report", true, unknown, false},
+		{"wider budget, idle by its report", true, 0.05, false},
+		{"wider budget, loaded by its report", true, 0.2, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newRecoveringRelay(30, 4, start, 1)
+			if c.load != unknown {
+				b.LoadReported(start+10, 1, []float64{c.load})
+			}
+			session := &Session{attempt: latestAttempt{backend: noBackend}}
+			session.warming = slowStartGrant{backend: 0, onlyIfLoaded: c.onlyIfLoaded}
+			s := b.newSelection(session, start+20)
+			assert.Equal(t, c.open, s.isOpen(0))
+		})
+	}
+}
+
+// Only a relay's first sessions ask for a report of load, and of those the ones beyond the usual budget.
+func TestOnlyYoungRelaysAskForReportedLoad(t *testing.T) {
+	const relays, sessions = 1000, 8
+	asked := make([]int, sessions)
+	granted := make([]int, sessions)
+	for seed := range int64(relays) {
+		b := testFleet{Loads: []float64{0.4, 0.4, 0.4, 0}, LastStartedAt: start, Relays: 300, Seed: seed}.build(t)
+		b.refreshWeights(start)
+		b.poller.activeShare = 0
+		for i := range sessions {
+			session := newSession(start + 5000 + 2000*float64(i))
+			session.load = b.quotas.meanSessionLoad
+			if b.drawWarmingBackend(start+5000+2000*float64(i), session) == noBackend {
+				continue
+			}
+			granted[i]++
+			if session.warming.onlyIfLoaded {
+				asked[i]++
+			}
+		}
+	}
+	t.Logf("granted %v, of those with a report of load %v", granted, asked)
+	for i := range sessions {
+		assert.Less(t, asked[i], granted[i], "within the usual budget none is asked for, session %d", i)
+		assert.Equal(t, i < youngRelaySessions, asked[i] > 0, "session %d", i)
+	}
+}
