--- a/internal/replication/operation.go
+++ b/internal/replication/operation.go
@@ -12,7 +12,7 @@
 const (
 	initialRetryMillis = 4.0 // until a request without a reply is sent again; doubled each time
 	maxRetryMillis     = 200.0
-	minRetriesInTime   = 4.0  // the first retry comes within one part in so many of the time that is left
+	firstRetryDivisor  = 4.0  // the first retry comes within one part in so many of the time that is left
 	maxOperations      = 4096 // under way at once
 )
 
@@ -97,7 +97,7 @@
 func (r *Replicator) startPhase(now float64, op *operation) []Action {
 	r.operations[op.token] = op
 	op.replies = map[string]message{}
-	op.retryInterval = min(initialRetryMillis, (op.deadline-now)/minRetriesInTime)
+	op.retryInterval = min(initialRetryMillis, (op.deadline-now)/firstRetryDivisor)
 	return r.sendRequests(now, op)
 }
 
--- a/internal/testbed/procstat/loopback.go
+++ b/internal/testbed/procstat/loopback.go
@@ -48,9 +48,9 @@
 	nextPort int
 }
 
-// forkProbe has package os run its probe for pidfds now, which it does once a process. The probe forks a child without
+// runPidfdProbe has package os run its probe for pidfds now, which it does once a process. The probe forks a child without
 // syscall.ForkLock, on which isFree relies.
-func forkProbe() {
+func runPidfdProbe() {
 	if self, err := os.FindProcess(os.Getpid()); err == nil {
 		self.Release()
 	}
@@ -58,7 +58,7 @@
 
 // ClaimLoopbackNetwork claims a network that nobody holds, until it is closed or this process ends.
 func ClaimLoopbackNetwork() (*LoopbackNetwork, error) {
-	forkProbe()
+	runPidfdProbe()
 	const count = lastNetwork - firstNetwork + 1
 	start := os.Getpid() + int(claimCount.Add(1))
 	for i := range count {
