Review case 1: a single-use request runs twice after its relay was killed and restarted

A relay that has just started looks up attempt markers before it knows any other relay, and takes that for "no marker". Clients that retry in its first quarter of a second have their single-use requests run again.

The stand-ins that all cases share are in review/rig.

--- /dev/null
+++ b/review/rig/fleet.go
@@ -0,0 +1,119 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// Relay is one relay of a fleet, over all its starts.
+type Relay struct {
+	*Process
+	Name   string
+	Listen string // where clients connect
+	Admin  string // where operators call
+
+	rig         *Rig
+	environment []string
+}
+
+// FleetConfig says what a fleet of relays is given.
+type FleetConfig struct {
+	Zones     []string       // zones; there is one relay in each
+	Settings  map[string]any // the platform's settings, without zone
+	Operator  string         // further sections of the operators' file
+	Discovery *Discovery
+}
+
+// StartFleet starts a relay in each zone. Each knows the others, has a folder as its disk and stores records for
+// others.
+func (r *Rig) StartFleet(config FleetConfig) (relays []*Relay) {
+	key := r.Write("key", "a key that all relays share")
+	var peers, quoted []string
+	for range config.Zones {
+		address := FreeAddress()
+		peers = append(peers, address)
+		quoted = append(quoted, fmt.Sprintf("%q", address))
+	}
+	for i, zone := range config.Zones {
+		name := fmt.Sprintf("n%d", i)
+		folder := filepath.Join(r.Dir, name+".disk")
+		Check(os.MkdirAll(folder, 0o700))
+		operator := r.Write(name+".toml", fmt.Sprintf("[peers]\nlisten = %q\nseeds = [%s]\nzone = %q\nkey-file = %q\n"+
+			"[disk]\nfolder = %q\n%s", peers[i], strings.Join(quoted, ", "), zone, key, folder, config.Operator))
+		relay := &Relay{Name: name, Listen: FreeAddress(), Admin: FreeAddress(), rig: r}
+		settings := map[string]any{"zone": i, "me": i, "replicas-of-me": len(config.Zones), "localities": config.Zones}
+		for field, value := range config.Settings {
+			settings[field] = value
+		}
+		text, err := json.Marshal(map[string]any{"name": name, "listen": relay.Listen, "ops": relay.Admin,
+			"discovery": config.Discovery.Address, "seed": "8c1f30d27a5be964", "known": config.Discovery.List(),
+			"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+			"settings": settings})
+		Check(err)
+		relay.environment = []string{
+			"RELAY_CONFIG=" + r.Write(name+".json", string(text)), "RELAY_NAME=" + name, "RELAY_LISTEN=" + relay.Listen,
+			"RELAY_DISCOVERY=" + config.Discovery.Address, "RELAY_OPS=" + relay.Admin,
+			"VALESHIFT_OPERATOR=" + operator, "TMPDIR=" + r.Dir,
+		}
+		relay.Restart()
+		relays = append(relays, relay)
+	}
+	return relays
+}
+
+// Restart starts the relay, which does not run.
+func (l *Relay) Restart() { l.Process = l.rig.Start(l.Name, l.rig.RunCommand(), l.environment...) }
+
+// fleetStatus is the part of a relay's status that the cases read.
+type fleetStatus struct {
+	Recovery struct{ Phase string }
+	Members  []struct{ State string }
+	Holdings struct{ Able bool }
+}
+
+// AwaitFleet waits until each relay sees all others alive and can have its records stored by others.
+func (r *Rig) AwaitFleet(relays []*Relay) {
+	r.Await("all relays know each other and store records for each other", 30*time.Second, func() bool {
+		for _, relay := range relays {
+			var status fleetStatus
+			if !GetJSON(relay.Admin, "/_fleet", &status) || status.Recovery.Phase != "normal" || !status.Holdings.Able {
+				return false
+			}
+			alive := 0
+			for _, member := range status.Members {
+				if member.State == "alive" {
+					alive++
+				}
+			}
+			if alive < len(relays)-1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Marks returns the keys for which the relays store an attempt marker that is open, as operators see them.
+func (r *Rig) Marks(relays []*Relay) map[string]bool {
+	keys := map[string]bool{}
+	for _, relay := range relays {
+		for part := range 64 {
+			var page struct {
+				Records []struct{ Kind, Key, State string }
+			}
+			if !GetJSON(relay.Admin, fmt.Sprintf("/_holdings?part=%d", part), &page) {
+				continue
+			}
+			for _, record := range page.Records {
+				if record.Kind == "marks" && record.State == "open" {
+					keys[record.Key] = true
+				}
+			}
+		}
+	}
+	return keys
+}
