--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// pollAnswer is a backend's answer to a poll. It has all the fields that the sites name.
+const pollAnswer = "PONG x0=0.1,qps=1,queue=0,util=0.1\r\n"
+
 // Request is a client's request as it reached a backend.
 type Request struct {
 	ID    string
@@ -83,6 +86,7 @@
 	conns    map[net.Conn]bool
 	delay    time.Duration // time from a request to its answer
 	hangs    bool          // requests are run and never answered
+	endless  bool          // answers to polls never end
 }
 
 // StartBackend starts a backend that answers after the delay.
@@ -125,6 +129,34 @@
 	b.hangs = hangs
 }
 
+// SetEndless sets whether answers to polls never end.
+func (b *Backend) SetEndless(endless bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.endless = endless
+}
+
+func (b *Backend) isEndless() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.endless
+}
+
+// answerEndlessly repeats the answer to a poll until the connection ends.
+func (b *Backend) answerEndlessly(conn net.Conn) {
+	b.rig.Note("%s: begins an answer that never ends", b.Name)
+	text := []byte(strings.Repeat(pollAnswer, 1000))
+	sent := 0
+	for {
+		n, err := conn.Write(text)
+		sent += n
+		if err != nil {
+			b.rig.Note("%s: the answer was ended by the relay after %d MB", b.Name, sent>>20)
+			return
+		}
+	}
+}
+
 func (b *Backend) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -153,7 +185,11 @@
 		}
 		switch strings.TrimSuffix(line, "\r\n") {
 		case "STATS":
-			conn.Write([]byte("PONG x0=0.1,qps=1,queue=0\r\n"))
+			if b.isEndless() {
+				b.answerEndlessly(conn)
+				return
+			}
+			conn.Write([]byte(pollAnswer))
 			continue
 		case "PING":
 			conn.Write([]byte("PONG\r\n"))
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -49,22 +49,37 @@
 		for field, value := range config.Settings {
 			settings[field] = value
 		}
-		text, err := json.Marshal(map[string]any{"name": name, "listen": relay.Listen, "ops": relay.Admin,
-			"discovery": config.Discovery.Address, "seed": "8c1f30d27a5be964", "known": config.Discovery.List(),
-			"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-			"settings": settings})
-		Check(err)
-		relay.environment = []string{
-			"RELAY_CONFIG=" + r.Write(name+".json", string(text)), "RELAY_NAME=" + name, "RELAY_LISTEN=" + relay.Listen,
-			"RELAY_DISCOVERY=" + config.Discovery.Address, "RELAY_OPS=" + relay.Admin,
-			"VALESHIFT_OPERATOR=" + operator, "TMPDIR=" + r.Dir,
-		}
+		relay.environment = append(r.configure(relay, settings, config.Discovery), "VALESHIFT_OPERATOR="+operator)
 		relay.Restart()
 		relays = append(relays, relay)
 	}
 	return relays
 }
 
+// StartRelay starts a relay that knows of no others, with the platform's settings alone.
+func (r *Rig) StartRelay(name string, settings map[string]any, discovery *Discovery) *Relay {
+	relay := &Relay{Name: name, Listen: FreeAddress(), Admin: FreeAddress(), rig: r}
+	relay.environment = append(r.configure(relay, settings, discovery), "VALESHIFT_OPERATOR=")
+	relay.Restart()
+	return relay
+}
+
+// configure writes the platform's file for a relay and returns the environment that the platform sets.
+func (r *Rig) configure(relay *Relay, settings map[string]any, discovery *Discovery) []string {
+	text, err := json.Marshal(map[string]any{"name": relay.Name, "listen": relay.Listen, "ops": relay.Admin,
+		"discovery": discovery.Address, "seed": "8c1f30d27a5be964", "known": discovery.List(),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings": settings})
+	Check(err)
+	folder := filepath.Join(r.Dir, relay.Name+".tmp")
+	Check(os.MkdirAll(folder, 0o700))
+	return []string{
+		"RELAY_CONFIG=" + r.Write(relay.Name+".json", string(text)), "RELAY_NAME=" + relay.Name,
+		"RELAY_LISTEN=" + relay.Listen, "RELAY_DISCOVERY=" + discovery.Address, "RELAY_OPS=" + relay.Admin,
+		"TMPDIR=" + folder,
+	}
+}
+
 // Restart starts the relay, which does not run.
 func (l *Relay) Restart() { l.Process = l.rig.Start(l.Name, l.rig.RunCommand(), l.environment...) }
 
