--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -177,7 +177,7 @@
 		delete(b.conns, conn)
 		b.mutex.Unlock()
 	}()
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReaderSize(conn, 64<<10)
 	for {
 		line, err := reader.ReadString('\n')
 		if err != nil {
@@ -223,11 +223,20 @@
 	if _, err := conn.Write([]byte("UP " + request.ID + "\r\n")); err != nil {
 		return
 	}
+	b.echo(conn, reader)
+}
+
+// echo returns each line of the client: all that have come are answered by one write.
+func (b *Backend) echo(conn net.Conn, reader *bufio.Reader) {
+	writer := bufio.NewWriterSize(conn, 64<<10)
 	for {
 		line, err := reader.ReadString('\n')
 		if err != nil {
 			return
 		}
-		conn.Write([]byte(line))
+		writer.WriteString(line)
+		if reader.Buffered() == 0 {
+			writer.Flush()
+		}
 	}
 }
