--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -114,20 +115,37 @@
 
 // Marks returns the keys for which the relays store an attempt marker that is open, as operators see them.
 func (r *Rig) Marks(relays []*Relay) map[string]bool {
+	const parts, callers = 64, 4
 	keys := map[string]bool{}
+	var mutex sync.Mutex
+	var reading sync.WaitGroup
 	for _, relay := range relays {
-		for part := range 64 {
-			var page struct {
-				Records []struct{ Kind, Key, State string }
-			}
-			if !GetJSON(relay.Admin, fmt.Sprintf("/_holdings?part=%d", part), &page) {
-				continue
-			}
-			for _, record := range page.Records {
-				if record.Kind == "marks" && record.State == "open" {
-					keys[record.Key] = true
+		for first := range callers {
+			reading.Go(func() {
+				for part := first; part < parts; part += callers {
+					for _, key := range relay.marks(part) {
+						mutex.Lock()
+						keys[key] = true
+						mutex.Unlock()
+					}
 				}
-			}
+			})
+		}
+	}
+	reading.Wait()
+	r.Note("other relays hold open markers for %d keys", len(keys))
+	return keys
+}
+
+// marks returns the keys of the open attempt markers in one part of the records that the relay stores.
+func (l *Relay) marks(part int) (keys []string) {
+	var page struct {
+		Records []struct{ Kind, Key, State string }
+	}
+	GetJSON(l.Admin, fmt.Sprintf("/_holdings?part=%d", part), &page)
+	for _, record := range page.Records {
+		if record.Kind == "marks" && record.State == "open" {
+			keys = append(keys, record.Key)
 		}
 	}
 	return keys
