--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -56,6 +56,21 @@
 	return append([]string(nil), l.runs[key]...)
 }
 
+// AwaitRuns waits until the effects of all keys have run, at most for the time given.
+func (l *Ledger) AwaitRuns(keys []string, atMost time.Duration) {
+	for deadline := time.Now().Add(atMost); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		missing := 0
+		for _, key := range keys {
+			if len(l.Runs(key)) == 0 {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return
+		}
+	}
+}
+
 // run runs the effect at a backend, unless its group remembers the key.
 func (l *Ledger) run(backend, group, key string) (hasRun bool) {
 	l.mutex.Lock()
