Show clients cut off as over a thousand short lines come back at once

review/8 (the earlier cases 8 and 9 become 9 and 10): more than 1,024 lines in one read are passed to one Writev, which fails with EINVAL and closes the client's connection.

--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,95 +1,117 @@
-// Command 8 shows a connection that brings nothing back for over seven seconds, as the process is replaced meanwhile.
+// Command 8 shows clients that are cut off, with their lines, as many short lines come back from a backend at once.
 package main
 
 import (
+	"bufio"
+	"fmt"
+	"net"
 	"os"
-	"slices"
-	"syscall"
+	"strings"
 	"time"
 
 	"valeshift/review/stand"
 )
 
 const (
-	clients    = 6
-	quietLimit = 7 * time.Second         // a connection that brings nothing back has to be ended or moved within it
-	slack      = 50 * time.Millisecond   // each time limit is longer by this on sockets
-	startAfter = 2500 * time.Millisecond // from the first line without an answer to the start of the second process
-	termAfter  = 3800 * time.Millisecond // and to the old one's SIGTERM
-	killAfter  = 2700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline and 0.7 s
+	clients = 8
+	usual   = 20   // lines that a client sends at once without the disruption
+	many    = 1500 // and with it; each has up to 6 bytes
+	within  = 5 * time.Second
 )
 
 func main() {
 	record := stand.NewRecord(os.Args[1])
 	backends := []*stand.Backend{stand.NewBackend(record, "s-1"), stand.NewBackend(record, "s-2")}
+	for _, b := range backends {
+		b.Answer = func(r *stand.Request) {
+			fmt.Fprintf(r.Conn, "UP %s-%s\r\n", b.Name, r.ID)
+			returnLines(record, r)
+		}
+	}
 	discovery := stand.NewDiscovery(record, backends...)
 	platform := stand.NewPlatform(record, discovery)
-	platform.Shared = true
-	old := platform.Start()
+	platform.Start()
 
-	var all []*stand.Client
-	for range clients {
-		c := stand.Open(record, platform.Listen, "feed", 2*time.Second, ",g=5c0f")
-		if s := c.AwaitAnswer(3 * time.Second); !s.Up {
-			record.Say("could not run: a client was not served")
-			record.Exit(stand.ExitNotRun)
-		}
-		all = append(all, c)
-	}
-	time.Sleep(3 * time.Second) // the first line of each has come back
-	silent := all[:clients/2]
+	lines := usual
 	if stand.Trouble() {
-		for _, b := range backends {
-			for _, r := range b.Requests() {
-				if slices.ContainsFunc(silent, func(c *stand.Client) bool { return c.ID == r.ID }) {
-					r.FallSilent()
-				}
-			}
-		}
+		lines = many
 	}
-	time.Sleep(1200 * time.Millisecond) // the second line has been sent
-	firstLine := silent[0].State().LineAt
-	if firstLine.IsZero() {
-		firstLine = time.Now()
+	results := make(chan bool)
+	for i := range clients {
+		go func() { results <- play(record, platform.Listen, i, lines) }()
 	}
-	time.Sleep(time.Until(firstLine.Add(startAfter)))
-	second := platform.Launch()
-	platform.AwaitReady(second, 6*time.Second)
-	time.Sleep(time.Until(firstLine.Add(termAfter)))
-	old.Signal(syscall.SIGTERM)
-	go func() {
-		select {
-		case <-old.Done:
-		case <-time.After(killAfter):
-			old.Signal(syscall.SIGKILL)
+	broken := 0
+	for range clients {
+		if !<-results {
+			broken++
 		}
-	}()
-	time.Sleep(6 * time.Second)
+	}
+	record.Say("%d of %d clients that sent %d lines at once were cut off without MOVE, or lost lines", broken, clients, lines)
+	if broken > 0 {
+		record.Say("BROKEN lost: connections were cut off without MOVE although their backends answer")
+		record.Exit(stand.ExitBroken)
+	}
+	record.Exit(stand.ExitHeld)
+}
 
-	broken := false
-	for i, c := range all {
-		s := c.State()
-		switch {
-		case i >= len(silent) || !stand.Trouble():
-			if s.End != "" && !s.Moved {
-				record.Say("client %s, whose backend answers, was cut off without MOVE", c.ID)
-				broken = true
-			}
-		case s.End == "" || s.EndedAt.Sub(s.LineAt) > quietLimit+slack:
-			end := time.Now()
-			if s.End != "" {
-				end = s.EndedAt
+// returnLines brings every line back at once: all that have come are returned with one write.
+func returnLines(record *stand.Record, r *stand.Request) {
+	received, sent := 0, 0
+	for {
+		line, err := r.Reader.ReadBytes('\n')
+		if err != nil {
+			record.Printf("backend %s: %s: %d lines came, %d were returned, then %v", r.Backend.Name, r.ID, received, sent, err)
+			return
+		}
+		received++
+		answer := line
+		for r.Reader.Buffered() > 0 {
+			line, err = r.Reader.ReadBytes('\n')
+			answer = append(answer, line...)
+			if err != nil {
+				break
 			}
-			record.Say("client %s: nothing came back for %.2f s after its line (%.2f s after the last line that came back)",
-				c.ID, end.Sub(s.LineAt).Seconds(), end.Sub(s.LastBack).Seconds())
-			broken = true
-		default:
-			record.Say("client %s was moved %.2f s after its line", c.ID, s.EndedAt.Sub(s.LineAt).Seconds())
+			received++
 		}
+		if _, err := r.Conn.Write(answer); err != nil {
+			record.Printf("backend %s: %s: %d lines came, %d were returned, then %v", r.Backend.Name, r.ID, received, sent, err)
+			return
+		}
+		sent = received
 	}
-	if broken {
-		record.Say("BROKEN lost: a connection without an answer was neither ended nor moved within %v", quietLimit)
-		record.Exit(stand.ExitBroken)
+}
+
+// play opens a connection, sends the lines at once, and reports whether all came back unchanged and in order.
+func play(record *stand.Record, address string, number, lines int) bool {
+	id := fmt.Sprintf("%016x", uint64(0x9b1f03aa00000001)+uint64(number))
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	record.Must(err, "connect")
+	defer conn.Close()
+	fmt.Fprintf(conn, "OPEN %s %s c=feed,t=one,d=2000,g=5c0f\r\n", id, id)
+	reader := bufio.NewReader(conn)
+	conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	answer, err := reader.ReadString('\n')
+	record.Printf("client %s is answered %q (%v)", id, answer, err)
+	if !strings.HasPrefix(answer, "UP ") {
+		record.Say("could not run: client %s was not served", id)
+		record.Exit(stand.ExitNotRun)
 	}
-	record.Exit(stand.ExitHeld)
+	var all strings.Builder
+	for line := range lines {
+		fmt.Fprintf(&all, "%d\r\n", line)
+	}
+	record.Printf("client %s sends %d lines, %d bytes, at once", id, lines, all.Len())
+	if _, err := conn.Write([]byte(all.String())); err != nil {
+		record.Printf("client %s: %v", id, err)
+	}
+	conn.SetReadDeadline(time.Now().Add(within))
+	for line := range lines {
+		got, err := reader.ReadString('\n')
+		if got != fmt.Sprintf("%d\r\n", line) {
+			record.Say("client %s: %d of %d lines came back, then %q and %v", id, line, lines, got, err)
+			return false
+		}
+	}
+	record.Printf("client %s: all %d lines came back", id, lines)
+	return true
 }
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -1,76 +1,94 @@
-// Command 9 shows work sent to a draining backend while discovery answers each call after four seconds.
+// Command 9 shows a connection that brings nothing back for over seven seconds, as the process is replaced meanwhile.
 package main
 
 import (
 	"os"
-	"sync"
+	"slices"
+	"syscall"
 	"time"
 
 	"valeshift/review/stand"
 )
 
 const (
-	slowAnswer = 4 * time.Second        // how long a call to discovery waits for its turn
-	drainAt    = 8 * time.Second        // after the relay is ready
-	told       = 6 * time.Second        // a change counts as told so long after discovery had it
-	grace      = 500 * time.Millisecond // of the settings: contract.drain-grace-ms
-	slack      = 50 * time.Millisecond  // each time limit is longer by this on sockets
-	runFor     = 34 * time.Second
-	newEvery   = 400 * time.Millisecond // 2.5 new connections a second
+	clients    = 6
+	quietLimit = 7 * time.Second         // a connection that brings nothing back has to be ended or moved within it
+	slack      = 50 * time.Millisecond   // each time limit is longer by this on sockets
+	startAfter = 2500 * time.Millisecond // from the first line without an answer to the start of the second process
+	termAfter  = 3800 * time.Millisecond // and to the old one's SIGTERM
+	killAfter  = 2700 * time.Millisecond // from SIGTERM to SIGKILL: the longest deadline and 0.7 s
 )
 
 func main() {
 	record := stand.NewRecord(os.Args[1])
-	var backends []*stand.Backend
-	for _, name := range []string{"s-1", "s-2", "s-3", "s-4"} {
-		backends = append(backends, stand.NewBackend(record, name))
-	}
+	backends := []*stand.Backend{stand.NewBackend(record, "s-1"), stand.NewBackend(record, "s-2")}
 	discovery := stand.NewDiscovery(record, backends...)
-	if stand.Trouble() {
-		discovery.Delay = func() time.Duration { return slowAnswer }
-	}
 	platform := stand.NewPlatform(record, discovery)
-	platform.Start()
+	platform.Shared = true
+	old := platform.Start()
 
-	start := time.Now()
-	var drainedAt time.Time
-	var clients []*stand.Client
-	var drained sync.Once
-	for time.Since(start) < runFor {
-		if time.Since(start) >= drainAt {
-			drained.Do(func() {
-				discovery.Set("s-1", "leaving")
-				drainedAt = time.Now()
-			})
+	var all []*stand.Client
+	for range clients {
+		c := stand.Open(record, platform.Listen, "feed", 2*time.Second, ",g=5c0f")
+		if s := c.AwaitAnswer(3 * time.Second); !s.Up {
+			record.Say("could not run: a client was not served")
+			record.Exit(stand.ExitNotRun)
 		}
-		clients = append(clients, stand.Open(record, platform.Listen, "feed", 2*time.Second, ",g=5c0f"))
-		time.Sleep(newEvery)
+		all = append(all, c)
 	}
-	up := 0
-	for _, c := range clients {
-		if c.State().Up {
-			up++
+	time.Sleep(3 * time.Second) // the first line of each has come back
+	silent := all[:clients/2]
+	if stand.Trouble() {
+		for _, b := range backends {
+			for _, r := range b.Requests() {
+				if slices.ContainsFunc(silent, func(c *stand.Client) bool { return c.ID == r.ID }) {
+					r.FallSilent()
+				}
+			}
 		}
 	}
-	limit := drainedAt.Add(told + grace + slack)
-	before, late := 0, 0
-	for _, r := range backends[0].Requests() {
+	time.Sleep(1200 * time.Millisecond) // the second line has been sent
+	firstLine := silent[0].State().LineAt
+	if firstLine.IsZero() {
+		firstLine = time.Now()
+	}
+	time.Sleep(time.Until(firstLine.Add(startAfter)))
+	second := platform.Launch()
+	platform.AwaitReady(second, 6*time.Second)
+	time.Sleep(time.Until(firstLine.Add(termAfter)))
+	old.Signal(syscall.SIGTERM)
+	go func() {
+		select {
+		case <-old.Done:
+		case <-time.After(killAfter):
+			old.Signal(syscall.SIGKILL)
+		}
+	}()
+	time.Sleep(6 * time.Second)
+
+	broken := false
+	for i, c := range all {
+		s := c.State()
 		switch {
-		case r.At.After(limit):
-			late++
-			record.Printf("broken: s-1 was sent %s %.3f s after discovery had the drain", r.ID, r.At.Sub(drainedAt).Seconds())
+		case i >= len(silent) || !stand.Trouble():
+			if s.End != "" && !s.Moved {
+				record.Say("client %s, whose backend answers, was cut off without MOVE", c.ID)
+				broken = true
+			}
+		case s.End == "" || s.EndedAt.Sub(s.LineAt) > quietLimit+slack:
+			end := time.Now()
+			if s.End != "" {
+				end = s.EndedAt
+			}
+			record.Say("client %s: nothing came back for %.2f s after its line (%.2f s after the last line that came back)",
+				c.ID, end.Sub(s.LineAt).Seconds(), end.Sub(s.LastBack).Seconds())
+			broken = true
 		default:
-			before++
+			record.Say("client %s was moved %.2f s after its line", c.ID, s.EndedAt.Sub(s.LineAt).Seconds())
 		}
 	}
-	record.Say("%d of %d clients up; s-1 got %d requests up to %.2f s after the drain, %d later", up, len(clients), before,
-		limit.Sub(drainedAt).Seconds(), late)
-	if up == 0 || before == 0 {
-		record.Say("could not run: nothing was served")
-		record.Exit(stand.ExitNotRun)
-	}
-	if late > 0 {
-		record.Say("BROKEN drain: new work for a backend later than %v after the relay counts as told", grace)
+	if broken {
+		record.Say("BROKEN lost: a connection without an answer was neither ended nor moved within %v", quietLimit)
 		record.Exit(stand.ExitBroken)
 	}
 	record.Exit(stand.ExitHeld)
