--- a/review/6/main.go
+++ b/review/6/main.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	relays    = 60                      // each drained by itself, one time after the other
+	relays    = 100                     // each drained by itself, one time after the other
 	runFor    = 96 * time.Second        // in all
 	drainTime = 3900 * time.Millisecond // from the drain call to the call that ends it
 	pause     = 2 * time.Second         // yes is due again within it
