--- a/review/7/main.go
+++ b/review/7/main.go
@@ -97,6 +97,7 @@
 		record.Say("BROKEN lost: connections were held by a drained relay, and nothing came back on them")
 		record.Exit(stand.ExitBroken)
 	}
+	record.Say("all connections were answered, moved or ended in time")
 	record.Exit(stand.ExitHeld)
 }
 
--- a/review/9/main.go
+++ b/review/9/main.go
@@ -91,5 +91,6 @@
 		record.Say("BROKEN lost: a connection without an answer was neither ended nor moved within %v", quietLimit)
 		record.Exit(stand.ExitBroken)
 	}
+	record.Say("all connections were answered, moved or ended in time")
 	record.Exit(stand.ExitHeld)
 }
