--- a/review/stand/relay.go
+++ b/review/stand/relay.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -70,12 +71,17 @@
 		Known: discovery.Known(), Settings: Settings(), Sockets: 512, record: record, run: string(run[1])}
 }
 
-// FreeAddress returns a loopback address that was free a moment ago. Its port lies below those that the system gives to
+var handedOut sync.Map // the ports that FreeAddress has returned
+
+// FreeAddress returns a loopback address that was free a moment ago, each one once. Its port lies below those that the system gives to
 // outgoing connections, so that none of them takes it before the relay does.
 func FreeAddress(record *Record) string {
 	const lowest, highest, tries = 14000, 32000, 1000
 	for range tries {
 		port := lowest + rand.IntN(highest-lowest)
+		if _, taken := handedOut.LoadOrStore(port, true); taken {
+			continue
+		}
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
