Start no process behind the clean-up of the review's tests

A test that could not run while it still started relays left some running (17, seen once and ended).

--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -26,6 +26,7 @@
 	start    time.Time
 	cleanups []func()
 	ended    bool
+	starting sync.Mutex // held while a process is started, and for good once the test ends
 }
 
 // NewRecord starts the record in the given folder. A signal to end the test ends what it started, too.
@@ -75,6 +76,9 @@
 		select {} // another goroutine is about to exit
 	}
 	r.ended = true
+	r.mutex.Unlock()
+	r.starting.Lock() // so that no process is started behind the clean-up
+	r.mutex.Lock()
 	cleanups := r.cleanups
 	r.mutex.Unlock()
 	for i := len(cleanups) - 1; i >= 0; i-- {
@@ -85,6 +89,17 @@
 	os.Exit(code)
 }
 
+// Started starts a process, and has stop called at the end of the run. No process is started any more once the test ends.
+func (r *Record) Started(start func() error, stop func()) error {
+	r.starting.Lock()
+	defer r.starting.Unlock()
+	if err := start(); err != nil {
+		return err
+	}
+	r.Cleanup(stop)
+	return nil
+}
+
 // Must ends the test as one that could not run if there is an error.
 func (r *Record) Must(err error, what string) {
 	if err != nil {
--- a/review/stand/relay.go
+++ b/review/stand/relay.go
@@ -140,7 +140,12 @@
 	log, err := os.Create(filepath.Join(p.Dir, fmt.Sprintf("relay-%d.log", r.Number)))
 	p.record.Must(err, "log")
 	r.cmd.Stdout, r.cmd.Stderr = log, log
-	p.record.Must(r.cmd.Start(), "start "+p.run)
+	err = p.record.Started(r.cmd.Start, func() {
+		r.cmd.Process.Kill()
+		<-r.Done
+		p.copyLog(log.Name(), r.Number)
+	})
+	p.record.Must(err, "start "+p.run)
 	p.record.Printf("process %d of the relay started, clients at %s, operators at %s", r.Number, p.Listen, r.Ops)
 	go func() {
 		r.cmd.Wait()
@@ -148,11 +153,6 @@
 		log.Close()
 		close(r.Done)
 	}()
-	p.record.Cleanup(func() {
-		r.cmd.Process.Kill()
-		<-r.Done
-		p.copyLog(log.Name(), r.Number)
-	})
 	return r
 }
 
