--- a/review/7/main.go
+++ b/review/7/main.go
@@ -7,7 +7,7 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,8 +15,11 @@
 )
 
 const (
+	servers    = 8                       // of which one is slow: 12% of them, the page's limit is 24%
+	late       = 24                      // requests that are under way as the old process is told to end
 	hardLimit  = 3000 * time.Millisecond // of the class
-	answerTime = 2850 * time.Millisecond // a backend's answer to the late requests, inside the hard limit
+	usualTime  = 300 * time.Millisecond  // in which backends bring a connection up; 800 ms are promised
+	slowTime   = 2850 * time.Millisecond // 9.5 times as long, the page's limit, and inside the hard limit
 	drainLimit = 4 * time.Second         // from the drain call: no connection may be held that was not moved
 	quietLimit = 7 * time.Second         // a connection that brings nothing back has to be ended or moved within it
 	slack      = 50 * time.Millisecond   // each time limit is longer by this on sockets
@@ -25,21 +28,27 @@
 
 func main() {
 	record := stand.NewRecord(os.Args[1])
-	backends := []*stand.Backend{stand.NewBackend(record, "s-1"), stand.NewBackend(record, "s-2"),
-		stand.NewBackend(record, "s-3")}
-	for _, b := range backends {
+	var backends []*stand.Backend
+	var slow atomic.Bool
+	for i := range servers {
+		b := stand.NewBackend(record, fmt.Sprintf("s-%d", i+1))
 		b.Answer = func(r *stand.Request) {
-			if strings.Contains(r.Line, ",slow=1") {
-				time.Sleep(answerTime)
+			if i == 0 && slow.Load() {
+				time.Sleep(slowTime)
+			} else {
+				time.Sleep(usualTime)
 			}
 			r.Serve()
 		}
+		backends = append(backends, b)
 	}
 	discovery := stand.NewDiscovery(record, backends...)
 	platform := stand.NewPlatform(record, discovery)
 	platform.Shared = true
 	platform.Settings["replicas-of-me"] = 2
-	platform.Settings["categories"].([]map[string]any)[0]["hard-limit-ms"] = float64(hardLimit.Milliseconds())
+	class := platform.Settings["categories"].([]map[string]any)[0]
+	class["promised-time-ms"] = 800.0
+	class["hard-limit-ms"] = float64(hardLimit.Milliseconds())
 	old := platform.Start()
 
 	var all []*stand.Client
@@ -53,8 +62,9 @@
 	}
 	// Both processes accept clients once the new one is ready, so the late requests come just before.
 	second := platform.Launch()
-	for range 4 {
-		all = append(all, stand.Open(record, platform.Listen, "feed", hardLimit, ",g=5c0f,slow=1"))
+	slow.Store(true)
+	for range late {
+		all = append(all, stand.Open(record, platform.Listen, "feed", hardLimit, ",g=5c0f"))
 	}
 	platform.AwaitReady(second, 6*time.Second)
 	old.Signal(syscall.SIGTERM)
--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,4 +1,5 @@
-// Command 8 shows clients that are cut off, with their lines, as many short lines come back from a backend at once.
+// Command 8 shows clients that are cut off, with their lines, as hundreds of short lines come back from a backend at once
+// with some of its own.
 package main
 
 import (
@@ -14,8 +15,9 @@
 
 const (
 	clients = 8
-	usual   = 20   // lines that a client sends at once without the disruption
-	many    = 1500 // and with it; each has up to 6 bytes
+	usual   = 20  // commands that a client sends at once without the disruption
+	many    = 900 // and with it: hundreds, each a line of up to 5 bytes
+	every   = 4   // the backend tells the connection's load, which follows the commands, after so many of them
 	within  = 5 * time.Second
 )
 
@@ -46,7 +48,7 @@
 			broken++
 		}
 	}
-	record.Say("%d of %d clients that sent %d lines at once were cut off without MOVE, or lost lines", broken, clients, lines)
+	record.Say("%d of %d clients that sent %d commands at once were cut off without MOVE, or lost lines", broken, clients, lines)
 	if broken > 0 {
 		record.Say("BROKEN lost: connections were cut off without MOVE although their backends answer")
 		record.Exit(stand.ExitBroken)
@@ -54,30 +56,35 @@
 	record.Exit(stand.ExitHeld)
 }
 
-// returnLines brings every line back at once: all that have come are returned with one write.
+// returnLines brings every line back at once, and tells the load as it changes: all of that with one write for the lines
+// that have come.
 func returnLines(record *stand.Record, r *stand.Request) {
-	received, sent := 0, 0
+	received := 0
 	for {
 		line, err := r.Reader.ReadBytes('\n')
 		if err != nil {
-			record.Printf("backend %s: %s: %d lines came, %d were returned, then %v", r.Backend.Name, r.ID, received, sent, err)
+			record.Printf("backend %s: %s: %d lines came, then %v", r.Backend.Name, r.ID, received, err)
 			return
 		}
-		received++
-		answer := line
-		for r.Reader.Buffered() > 0 {
-			line, err = r.Reader.ReadBytes('\n')
+		var answer []byte
+		for {
 			answer = append(answer, line...)
-			if err != nil {
+			received++
+			if received%every == 0 {
+				answer = fmt.Appendf(answer, "LOAD %d\r\n", received)
+			}
+			if r.Reader.Buffered() == 0 {
+				break
+			}
+			if line, err = r.Reader.ReadBytes('\n'); err != nil {
 				break
 			}
-			received++
 		}
 		if _, err := r.Conn.Write(answer); err != nil {
-			record.Printf("backend %s: %s: %d lines came, %d were returned, then %v", r.Backend.Name, r.ID, received, sent, err)
+			record.Printf("backend %s: %s: %d lines came, then %v", r.Backend.Name, r.ID, received, err)
 			return
 		}
-		sent = received
+		record.Printf("backend %s: %s: %d lines have come, %d bytes went back", r.Backend.Name, r.ID, received, len(answer))
 	}
 }
 
@@ -100,13 +107,16 @@
 	for line := range lines {
 		fmt.Fprintf(&all, "%d\r\n", line)
 	}
-	record.Printf("client %s sends %d lines, %d bytes, at once", id, lines, all.Len())
+	record.Printf("client %s sends %d commands, %d bytes, at once", id, lines, all.Len())
 	if _, err := conn.Write([]byte(all.String())); err != nil {
 		record.Printf("client %s: %v", id, err)
 	}
 	conn.SetReadDeadline(time.Now().Add(within))
 	for line := range lines {
 		got, err := reader.ReadString('\n')
+		for strings.HasPrefix(got, "LOAD ") {
+			got, err = reader.ReadString('\n')
+		}
 		if got != fmt.Sprintf("%d\r\n", line) {
 			record.Say("client %s: %d of %d lines came back, then %q and %v", id, line, lines, got, err)
 			return false
--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -71,18 +71,6 @@
 	return append([]*Request(nil), b.requests...)
 }
 
-// Stop ends the backend as a process ends: its connections are reset, and new ones are refused.
-func (b *Backend) Stop() {
-	b.record.Printf("backend %s stops", b.Name)
-	b.listener.Close()
-	for _, r := range b.Requests() {
-		if tcp, ok := r.Conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-			tcp.Close()
-		}
-	}
-}
-
 // Polls returns the number of polls answered so far.
 func (b *Backend) Polls() int64 { return b.polls.Load() }
 
