Poll an accepted connection before the state machine may answer it

Cause: register reported ConnAccepted before nbio's poller had the connection, and released the lock in between. Every due timer fires with any event, so the end of a drain can come with the accept; finishDrain answers the new client, and nbio's Write follows the connection's nil poller.

Change: addAccepted and addDialed add the connection to the poller and the table and report it, all under one hold of the lock. Data that is read meanwhile waits for the lock, so that it comes after the report; TestDataOfAnAcceptedClientIsNotLost fails where the lock is released in between (planted).

--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -55,10 +55,6 @@
 		}
 		return false
 	}
-	d.mutex.Lock()
-	d.lastClientConn++
-	conn := d.lastClientConn
-	d.mutex.Unlock()
-	d.register(conn, netConn, false)
+	d.addAccepted(netConn)
 	return true
 }
--- a/internal/relay/dialing.go
+++ b/internal/relay/dialing.go
@@ -39,7 +39,7 @@
 }
 
 // dial connects to a backend in the background. A connection that is established after its dial was canceled is closed
-// by register. There is no timeout here, because the state machine cancels dials that take too long. The caller holds
+// by addDialed. There is no timeout here, because the state machine cancels dials that take too long. The caller holds
 // d.mutex.
 func (d *driver) dial(conn, forClient uint64, address string) {
 	d.evictClosing(1)
@@ -55,26 +55,10 @@
 			d.handle(ConnClosed{Conn: conn, Reset: true})
 			return
 		}
-		if d.register(conn, netConn, true) {
-			d.reportEstablished(conn, forClient)
-		}
+		d.addDialed(conn, forClient, netConn)
 	})
 }
 
-// reportEstablished reports a dialed connection as established. If the client that it is for has closed its
-// connection, that is reported first, as the poller may not have noticed yet: nothing is sent for a client that has
-// left.
-func (d *driver) reportEstablished(conn, forClient uint64) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if client := d.sockets[forClient]; client != nil {
-		if closed, reset := client.hasPeerClosed(); closed {
-			d.handleLocked(ConnClosed{Conn: forClient, Reset: reset})
-		}
-	}
-	d.handleLocked(ConnEstablished{Conn: conn})
-}
-
 // hasPeerClosed reports whether the peer has closed or reset the connection and no unread data is left.
 func (c *socket) hasPeerClosed() (closed, reset bool) {
 	c.nbConn.Lock()
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -46,57 +46,66 @@
 	deferredWrites []byte // data to write once it is released, included in unsent
 }
 
-// register hands a connection to nbio, unless its dial was canceled in the meantime, and reports whether it did. A
-// client's connection is reported to the state machine before polling starts, and so before any data.
-func (d *driver) register(conn uint64, netConn net.Conn, dialed bool) bool {
+// addAccepted adds a client's connection and reports it to the state machine. nbio polls it by then, because the effects
+// of the event may already write to it. Data that arrives in between waits for the lock, and so comes after the event.
+func (d *driver) addAccepted(netConn net.Conn) {
 	nbConn, err := nbio.NBConn(netConn)
 	if err != nil {
 		netConn.Close()
-		if dialed {
-			d.handle(ConnClosed{Conn: conn, Reset: true})
-		}
-		return false
-	}
-	c := &socket{conn: conn, nbConn: nbConn, awaitsFirstData: !dialed}
-	nbConn.SetSession(c)
-	if !d.addSocket(c, dialed) {
-		nbConn.Close()
-		return false
-	}
-	if !dialed {
-		d.handle(ConnAccepted{Conn: conn})
+		return
 	}
-	if err := d.startPollingNew(c); err != nil {
-		d.handle(ConnClosed{Conn: conn, Reset: true})
-		return false
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.lastClientConn++
+	c := &socket{conn: d.lastClientConn, nbConn: nbConn, awaitsFirstData: true}
+	if d.addPolled(c) != nil {
+		return
 	}
-	return true
+	d.handleLocked(ConnAccepted{Conn: c.conn})
 }
 
-// addSocket adds the socket to the driver's table, unless its dial was canceled, and reports whether it did.
-func (d *driver) addSocket(c *socket, dialed bool) bool {
+// addDialed adds a connection whose dial has succeeded and reports it to the state machine, unless the dial was canceled
+// in the meantime. If the client that it is for has closed its connection, that is reported first, as the poller may not
+// have noticed yet: nothing is sent for a client that has left.
+func (d *driver) addDialed(conn, forClient uint64, netConn net.Conn) {
+	nbConn, err := nbio.NBConn(netConn)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if _, wanted := d.dials[c.conn]; dialed && !wanted {
-		return false
+	_, wanted := d.dials[conn]
+	delete(d.dials, conn)
+	switch {
+	case err != nil:
+		netConn.Close()
+	case !wanted:
+		nbConn.Close()
+		return
+	default:
+		err = d.addPolled(&socket{conn: conn, nbConn: nbConn})
 	}
-	delete(d.dials, c.conn)
-	d.evictClosing(1)
-	d.sockets[c.conn] = c
-	return true
+	if err != nil {
+		d.handleLocked(ConnClosed{Conn: conn, Reset: true})
+		return
+	}
+	if client := d.sockets[forClient]; client != nil {
+		if closed, reset := client.hasPeerClosed(); closed {
+			d.handleLocked(ConnClosed{Conn: forClient, Reset: reset})
+		}
+	}
+	d.handleLocked(ConnEstablished{Conn: conn})
 }
 
-// startPollingNew adds the socket to nbio's poller, unless it has been closed since it was added to the table: its
-// descriptor may belong to another connection by now.
-func (d *driver) startPollingNew(c *socket) error {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.sockets[c.conn] != c {
-		return nil
+// addPolled adds a socket to the driver's table and to nbio's poller, in one step, so that the table holds no socket on
+// which the state machine's effects can't be carried out. After an error nbio has closed the connection. The caller
+// holds d.mutex.
+func (d *driver) addPolled(c *socket) error {
+	d.evictClosing(1)
+	c.nbConn.SetSession(c)
+	if _, err := d.engine.AddConn(c.nbConn); err != nil {
+		return fmt.Errorf("poll connection: %w", err)
 	}
-	_, err := d.engine.AddConn(c.nbConn)
-	c.polled = err == nil
-	return err
+	c.polled = true
+	d.sockets[c.conn] = c
+	return nil
 }
 
 // readAvailable reads all available data, up to the end of the stream or the reset that may follow it.
