Write any number of chunks: join more than one system call takes

Cause: the driver merges the writes that follow each other on a connection into one Writev, without a bound. The kernel refuses more than 1,024 chunks (EINVAL), and nbio closes the connection.

Evidence: driver.write delivers 1,024 chunks of one byte, and nothing of 1,025.

Change: more than 1,024 chunks, and chunks behind unsent bytes, are joined and written as one.

--- a/internal/relay/driver.go
+++ b/internal/relay/driver.go
@@ -45,6 +45,7 @@
 	dials   map[uint64]*pendingDial // by connection ID
 	closing []*socket               // in the order in which closing began; may include sockets closed since
 	chunks  [][]byte                // scratch buffer, reused for each write
+	joined  []byte                  // scratch buffer, reused for each write whose chunks are joined
 
 	suspension     suspensionDetector
 	lastClientConn uint64 // the highest ID assigned to a client connection so far
--- a/internal/relay/writing.go
+++ b/internal/relay/writing.go
@@ -7,29 +7,47 @@
 	"github.com/lesismal/nbio"
 )
 
+const maxGatheredChunks = 1024 // most chunks that the kernel accepts in one system call (IOV_MAX)
+
 // write writes all chunks, in a single system call if nothing is unsent. nbio buffers what the kernel does not accept,
 // up to maxUnsentBytes. The caller holds d.mutex.
 func (d *driver) write(conn uint64, chunks [][]byte) {
 	c := d.sockets[conn]
-	if c == nil {
-		return
+	switch {
+	case c == nil:
+	case c.awaitsRelease:
+		c.deferWrite(chunks)
+	case len(chunks) == 1:
+		c.writeChunk(chunks[0])
+	case len(chunks) > maxGatheredChunks || c.unsent.Load() > 0:
+		c.writeChunk(d.join(chunks))
+	default:
+		c.writeGathered(chunks)
 	}
-	size := 0
+}
+
+// join copies the chunks into one, which is valid until the next call.
+func (d *driver) join(chunks [][]byte) []byte {
+	d.joined = d.joined[:0]
 	for _, chunk := range chunks {
-		size += len(chunk)
+		d.joined = append(d.joined, chunk...)
 	}
-	if c.awaitsRelease {
-		for _, chunk := range chunks {
-			c.deferredWrites = append(c.deferredWrites, chunk...)
-		}
-		c.unsent.Add(int64(size))
-		return
+	return d.joined
+}
+
+// deferWrite keeps the chunks until the connection is released.
+func (c *socket) deferWrite(chunks [][]byte) {
+	for _, chunk := range chunks {
+		c.deferredWrites = append(c.deferredWrites, chunk...)
+		c.unsent.Add(int64(len(chunk)))
 	}
-	if len(chunks) == 1 || c.unsent.Load() > 0 {
-		for _, chunk := range chunks {
-			c.writeChunk(chunk)
-		}
-		return
+}
+
+// writeGathered writes chunks in one system call. Nothing is unsent, and there are at most maxGatheredChunks.
+func (c *socket) writeGathered(chunks [][]byte) {
+	size := 0
+	for _, chunk := range chunks {
+		size += len(chunk)
 	}
 	written, err := c.nbConn.Writev(chunks)
 	if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
