Add a received session's sockets before effects on them are carried out

Cause: the driver passed SessionReceived to the state machine and added the sockets after it. A session that is to leave at once is migrated in that very event, as due timers fire with it; MOVE and the closes found no socket, and what came on the sockets later belonged to no session.

Evidence: TestReceivedSessionThatLeavesAtOnceIsMoved, in four ways: the migration is due, the drain is over, it ends with the arrival, only the new process knows that the backend drains.

Change: SessionAccepted, which precedes all other effects on the session, adds the sockets. Until the old process has released its descriptors, closes wait as writes did before.

--- a/internal/relay/carryout.go
+++ b/internal/relay/carryout.go
@@ -98,6 +98,6 @@
 	case *SessionDetached:
 		d.detached = e.Session
 	case *SessionAccepted:
-		d.acceptedBackendConn = e.BackendConn
+		d.addReceived(e)
 	}
 }
--- a/internal/relay/closing.go
+++ b/internal/relay/closing.go
@@ -49,9 +49,10 @@
 func (d *driver) close(c *socket) {
 	c.closing.Store(true)
 	switch {
+	case c.awaitsRelease: // startPolling closes it
 	case c.unsent.Load() == 0:
 		d.finishClose(c)
-	case !c.awaitsRelease: // nbio sets no deadline on a connection that it does not poll yet
+	default:
 		c.setFlushDeadline()
 	}
 	if d.sockets[c.conn] == c {
--- a/internal/relay/driver.go
+++ b/internal/relay/driver.go
@@ -52,8 +52,8 @@
 	accept         acceptState
 	siblings       siblingState
 
-	detached            *TransferredSession // set by the SessionDetached effect, which answers DetachRequested
-	acceptedBackendConn uint64              // set by the SessionAccepted effect, which answers SessionReceived; else 0
+	detached  *TransferredSession // set by the SessionDetached effect, which answers DetachRequested
+	receiving *sessionSockets     // sockets of a session that the parent sends, until SessionAccepted adds them; else nil
 }
 
 // acceptState controls the accept loop.
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -42,7 +42,7 @@
 	readMutex   sync.Mutex // held while reading
 	transferred bool       // the child process has the connection; guarded by readMutex
 
-	awaitsRelease  bool   // received from a parent that has not released it yet: nothing is read or written
+	awaitsRelease  bool   // received from a parent that has not released it yet: it is not read, written or closed
 	deferredWrites []byte // data to write once it is released, included in unsent
 }
 
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -224,24 +224,19 @@
 	if err != nil {
 		return false, nil
 	}
+	both := sessionSockets{}
+	for i, nbConn := range nbConns {
+		both[i] = &socket{nbConn: nbConn, awaitsRelease: true}
+		nbConn.SetSession(both[i])
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.lastClientConn++
-	clientConn := d.lastClientConn
-	d.acceptedBackendConn = 0
-	d.handleLocked(SessionReceived{Conn: clientConn, Session: session})
-	if d.acceptedBackendConn == 0 {
+	if !d.offerSession(session, &both) {
 		for _, nbConn := range nbConns {
 			nbConn.Close()
 		}
 		return false, nil
 	}
-	var both sessionSockets
-	for i, conn := range [...]uint64{clientConn, d.acceptedBackendConn} {
-		both[i] = &socket{conn: conn, nbConn: nbConns[i], awaitsRelease: true}
-		nbConns[i].SetSession(both[i])
-		d.sockets[conn] = both[i]
-	}
 	if !session.ConfirmsRelease {
 		d.startPolling(both)
 		return true, nil
@@ -253,6 +248,29 @@
 	}
 }
 
+// offerSession has the state machine decide on a session that the parent sends, and reports whether it takes the session
+// over. The caller holds d.mutex.
+func (d *driver) offerSession(session *TransferredSession, both *sessionSockets) (accepted bool) {
+	d.lastClientConn++
+	d.receiving = both
+	d.handleLocked(SessionReceived{Conn: d.lastClientConn, Session: session})
+	accepted = d.receiving == nil
+	d.receiving = nil
+	return accepted
+}
+
+// addReceived adds the sockets of the session that is being received. It carries out SessionAccepted, which precedes all
+// other effects on the session: the state machine may end the session in the event that brings it.
+func (d *driver) addReceived(accepted *SessionAccepted) {
+	both := d.receiving
+	d.receiving = nil
+	both[0].conn = accepted.Conn
+	both[1].conn = accepted.BackendConn
+	for _, c := range both {
+		d.sockets[c.conn] = c
+	}
+}
+
 // openTransferred opens connections on the descriptors that came with a session.
 func openTransferred(files [hotrestart.FilesPerSession]*os.File) (all [hotrestart.FilesPerSession]*nbio.Conn, err error) {
 	for i, file := range files {
@@ -270,8 +288,8 @@
 	return all, nil
 }
 
-// startPolling starts polling the sockets of a received session, and writes the data whose writing was deferred. The
-// lock is held.
+// startPolling starts polling the sockets of a received session, and carries out the effects that were deferred. The
+// caller holds d.mutex.
 func (d *driver) startPolling(both sessionSockets) {
 	for _, c := range both {
 		c.awaitsRelease = false
@@ -279,16 +297,26 @@
 			continue
 		}
 		if _, err := d.engine.AddConn(c.nbConn); err != nil {
+			d.removeSocket(c)
 			d.workers.run(func() { d.handle(ConnClosed{Conn: c.conn, Reset: true}) })
 			continue
 		}
 		c.polled = true
+		d.carryOutDeferred(c)
+	}
+}
+
+// carryOutDeferred writes the data whose writing was deferred until the connection was released, and closes the
+// connection if that was requested meanwhile. The caller holds d.mutex.
+func (d *driver) carryOutDeferred(c *socket) {
+	switch {
+	case len(c.deferredWrites) > 0: // onWritten finishes the close
 		if c.closing.Load() {
 			c.setFlushDeadline()
 		}
-		if len(c.deferredWrites) > 0 {
-			c.nbConn.Write(c.deferredWrites)
-			c.deferredWrites = nil
-		}
+		c.nbConn.Write(c.deferredWrites)
+		c.deferredWrites = nil
+	case c.closing.Load():
+		d.finishClose(c)
 	}
 }
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/json"
 	"io"
 	"net"
 	"os"
@@ -10,6 +11,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"valeshift/internal/hotrestart"
 )
 
 // TestReceivedSessionWaitsForItsRelease: a child neither writes to nor closes a received connection before the parent
@@ -39,3 +42,87 @@
 	require.NoError(t, err)
 	assert.Equal(t, "MOVE", string(all))
 }
+
+// TestReceivedSessionThatLeavesAtOnceIsMoved: a drained child held clients without MOVE, end or reply, as the sessions
+// that its parent sent were migrated with their arrival, before the driver had their sockets.
+func TestReceivedSessionThatLeavesAtOnceIsMoved(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		prepare func(d *driver, session *TransferredSession)
+	}{
+		{"its migration is due", func(_ *driver, session *TransferredSession) { session.LeavesInMillis = 0 }},
+		{"the drain of this process is over", func(d *driver, _ *TransferredSession) {
+			d.machine.lifecycle.drainRequested = true
+			d.machine.lifecycle.startedAt = d.now() - 2*d.machine.maxDrainTime()
+		}},
+		{"the drain of this process ends with its arrival", func(d *driver, _ *TransferredSession) {
+			d.machine.setDraining(true)
+			d.machine.timers.set(&d.machine.lifecycle.timer, d.now())
+		}},
+		{"its backend drains, which the parent does not know", func(d *driver, _ *TransferredSession) {
+			d.machine.applyEndpoints(&EndpointUpdate{Endpoints: parseEndpoints([]string{"b1=leaving"})})
+		}},
+	} {
+		for _, confirmsRelease := range []bool{true, false} {
+			t.Run(tt.name, func(t *testing.T) {
+				d, _ := newTestDriver(t)
+				startMachine(t, d)
+				d.discovery = newDiscoveryWatch(func(Event) {})
+				session := &TransferredSession{Version: handoffVersion, ID: "a", Class: "feed", Tenant: "one", Backend: "b1",
+					LeavesInMillis: -1, ConfirmsRelease: confirmsRelease}
+				tt.prepare(d, session)
+				client, backend, released := receiveFromParent(t, d, session)
+				if confirmsRelease {
+					client.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+					_, err := client.Read(make([]byte, 1))
+					assert.ErrorIs(t, err, os.ErrDeadlineExceeded, "nothing is written or closed before the release")
+					released()
+				}
+				requireReadsAll(t, client, "MOVE\r\n")
+				requireReadsAll(t, backend, "")
+				client.Close()
+				assert.Eventually(t, func() bool {
+					d.mutex.Lock()
+					defer d.mutex.Unlock()
+					return len(d.sockets) == 0 && len(d.closing) == 0
+				}, 5*time.Second, time.Millisecond, "its descriptors are released")
+			})
+		}
+	}
+}
+
+// receiveFromParent has the driver take over a session, of which the parent has closed its own descriptors. It returns
+// the peers' ends of the connections and the function that confirms the release.
+func receiveFromParent(t *testing.T, d *driver, session *TransferredSession) (client, backend net.Conn, released func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	var files [hotrestart.FilesPerSession]*os.File
+	var peers [hotrestart.FilesPerSession]net.Conn
+	for i := range files {
+		var parent net.Conn
+		parent, peers[i] = connectPair(t, listener)
+		files[i], err = parent.(*net.TCPConn).File()
+		require.NoError(t, err)
+		parent.Close()
+		t.Cleanup(func() { peers[i].Close() })
+	}
+	text, err := json.Marshal(session)
+	require.NoError(t, err)
+	accepted, released := d.receiveSession(text, files)
+	require.True(t, accepted)
+	for _, file := range files {
+		file.Close()
+	}
+	return peers[0], peers[1], released
+}
+
+// requireReadsAll requires that the peer reads the text and then the end of the stream.
+func requireReadsAll(t *testing.T, peer net.Conn, want string) {
+	t.Helper()
+	peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	all, err := io.ReadAll(peer)
+	require.NoError(t, err)
+	require.Equal(t, want, string(all))
+}
