Simulation: a new process has a received session's connections at once

Seen: in the simulation too, connections moved to the new process after it had handled the session's arrival, so that what it did with them in that moment was lost.

Evidence: with each received session to be migrated at once, 268 were received and no client got MOVE; TestReceivedSessionsThatLeaveAtOnce fails without the change. With it all 268 are told.

Change: the connections move with SessionAccepted; a frozen process accepts no session. The auditor has no rule for a session on which nothing comes back, and stayed silent: left open.

--- a/internal/testbed/sim/relayprocess.go
+++ b/internal/testbed/sim/relayprocess.go
@@ -70,12 +70,19 @@
 
 // siblingState is the state that a process shares with its sibling, the other process on the same socket.
 type siblingState struct {
-	sibling             *relayProcess // nil if there is none
-	acceptPaused        bool
-	handoff             *relay.Handoff            // handoff for the new process
-	detachedSession     *relay.TransferredSession // session that is being transferred to the sibling
-	acceptedBackendConn uint64                    // backend connection of the session received last; 0 if it was rejected
-	onReady             func()
+	sibling         *relayProcess // nil if there is none
+	acceptPaused    bool
+	handoff         *relay.Handoff            // handoff for the new process
+	detachedSession *relay.TransferredSession // session that is being transferred to the sibling
+	incoming        *incomingSession          // session being received, until it is accepted; nil if there is none
+	onReady         func()
+}
+
+// incomingSession is a session that the sibling sends, and the sibling's numbers of its connections.
+type incomingSession struct {
+	from    *relayProcess
+	client  uint64
+	backend uint64
 }
 
 func newRelayProcess(n *node, number int, stateMachine StateMachine, discovery *model.Discovery,
@@ -161,7 +168,7 @@
 	case *relay.SessionDetached:
 		p.detachedSession = f.Session
 	case *relay.SessionAccepted:
-		p.acceptedBackendConn = f.BackendConn
+		p.takeConnections(f)
 	case *relay.Log:
 		if p.network.trace != nil {
 			p.network.logf("%s note %s %v", p.address, f.Message, f.Args)
@@ -268,20 +275,27 @@
 		return
 	}
 	target := p.sibling
-	accepted := !target.isExited && target.receive(decodeSession(encodeSession(p.detachedSession)))
-	if accepted {
-		p.moveConnection(target, client, target.lastClientConn)
-		p.moveConnection(target, backend, target.acceptedBackendConn)
-	}
+	accepted := !target.isExited && !target.isFrozen && target.receive(decodeSession(encodeSession(p.detachedSession)),
+		&incomingSession{from: p, client: client, backend: backend})
 	p.handle(relay.SessionTransferred{Conn: client, Accepted: accepted})
 }
 
 // receive takes over a session of the sibling process, and reports whether it was accepted.
-func (p *relayProcess) receive(session *relay.TransferredSession) bool {
+func (p *relayProcess) receive(session *relay.TransferredSession, incoming *incomingSession) bool {
 	p.lastClientConn++
-	p.acceptedBackendConn = 0
+	p.incoming = incoming
 	p.handle(relay.SessionReceived{Conn: p.lastClientConn, Session: session})
-	return p.acceptedBackendConn != 0
+	accepted := p.incoming == nil
+	p.incoming = nil
+	return accepted
+}
+
+// takeConnections moves the connections of an accepted session to this process, before it performs other effects on them.
+func (p *relayProcess) takeConnections(accepted *relay.SessionAccepted) {
+	incoming := p.incoming
+	p.incoming = nil
+	incoming.from.moveConnection(p, incoming.client, accepted.Conn)
+	incoming.from.moveConnection(p, incoming.backend, accepted.BackendConn)
 }
 
 // moveConnection moves a connection to another process, whose state machine knows it as otherRelayConn.
