Do not transfer a session whose sockets are not polled yet

Found by reading the paths that act on sockets which nbio does not have yet; not seen in service. A process that is itself replaced within half a second of receiving a session cuts it off without MOVE.

Cause: detachSession did not look at it. stopPolling fails on a socket that is not polled, resumePolling then polls it, and startPolling polls it again on the release: EEXIST, upon which nbio closes the connection.

Evidence: TestUnreleasedSessionIsNotTransferred fails before (the line after the release reaches nobody; nbio then also waits for a connection that it counted twice, so that the test ends by its timeout). With the change ten runs pass with the race detector.

Change: such a session is not detached; the shutdown migrates it.

--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -80,13 +80,14 @@
 }
 
 // detachSession makes the state machine give the session up, removes its sockets from the poller, and returns the
-// session with duplicates of their descriptors, to be sent. It returns nil if the session stays. All of this is done
-// under the driver's lock, so that no descriptor number can be reused for another connection meanwhile.
+// session with duplicates of their descriptors, to be sent. It returns nil if the session stays, as it does while this
+// process's own parent has not released it. All of this is done under the driver's lock, so that no descriptor number
+// can be reused for another connection meanwhile.
 func (d *driver) detachSession(clientConn uint64, both sessionSockets) (*TransferredSession, transferDescriptors) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, c := range both {
-		if c.unsent.Load() > 0 || c.closing.Load() || isClosed(c.nbConn) {
+		if !c.polled || c.unsent.Load() > 0 || c.closing.Load() || isClosed(c.nbConn) {
 			return nil, transferDescriptors{}
 		}
 	}
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -126,3 +126,37 @@
 	require.NoError(t, err)
 	require.Equal(t, want, string(all))
 }
+
+// TestUnreleasedSessionIsNotTransferred: a child that is replaced itself, before its parent has released a session, closed
+// the session's connections without MOVE: it tried to stop polling what it did not poll yet, then polled it twice.
+func TestUnreleasedSessionIsNotTransferred(t *testing.T) {
+	d, _ := newTestDriver(t)
+	startMachine(t, d)
+	d.discovery = newDiscoveryWatch(func(Event) {})
+	client, backend, released := receiveFromParent(t, d, &TransferredSession{Version: handoffVersion, ID: "a", Class: "feed",
+		Tenant: "one", Backend: "b1", LeavesInMillis: -1, ConfirmsRelease: true})
+	both := sessionSockets{d.sockets[1], d.sockets[dialedIDBase+1]}
+	session, _ := d.detachSession(1, both)
+	assert.Nil(t, session)
+	released()
+	requireForwards(t, client, backend)
+}
+
+// requireForwards requires that the session's lines are forwarded both ways.
+func requireForwards(t *testing.T, client, backend net.Conn) {
+	t.Helper()
+	writeText(t, client, "line\r\n")
+	requireReads(t, backend, "line\r\n")
+	writeText(t, backend, "reply\r\n")
+	requireReads(t, client, "reply\r\n")
+}
+
+// requireReads requires that the peer reads the text.
+func requireReads(t *testing.T, peer net.Conn, want string) {
+	t.Helper()
+	peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	text := make([]byte, len(want))
+	_, err := io.ReadFull(peer, text)
+	require.NoError(t, err)
+	require.Equal(t, want, string(text))
+}
