Keep a session whose descriptors can't be duplicated for its transfer

Found by reading the same paths; not seen in service. Where no descriptor is left, a session that was to be transferred is cut off without MOVE.

Cause: duplicate removed the sockets from the poller one by one, each before its descriptor was duplicated, and the way back added both to the poller again, the one too that it still polled: EEXIST, upon which nbio closes the connection.

Evidence: TestTransferWithoutDescriptorsKeepsTheSession fails before (no line is forwarded any more); 40 runs pass with the change and the race detector.

Change: descriptors are duplicated before polling stops, and only a socket that is not polled is added again.

--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -111,14 +111,11 @@
 
 var errConnectionClosed = errors.New("connection is closed")
 
-// duplicate removes the sockets from the poller and duplicates their descriptors. After an error, the caller must close
-// the descriptors that it returns.
+// duplicate duplicates the sockets' descriptors, and then removes the sockets from the poller. After an error, the caller
+// must close the descriptors that it returns.
 func (d *driver) duplicate(both sessionSockets) (transferDescriptors, error) {
 	descriptors := transferDescriptors{-1, -1}
 	for i, c := range both {
-		if err := d.stopPolling(c.nbConn.Hash()); err != nil {
-			return descriptors, fmt.Errorf("stop polling: %w", err)
-		}
 		duplicate, err := syscall.Dup(c.nbConn.Hash())
 		if err != nil {
 			return descriptors, fmt.Errorf("duplicate descriptor: %w", err)
@@ -128,6 +125,12 @@
 			return descriptors, errConnectionClosed
 		}
 	}
+	for _, c := range both {
+		if err := d.stopPolling(c.nbConn.Hash()); err != nil {
+			return descriptors, fmt.Errorf("stop polling: %w", err)
+		}
+		c.polled = false
+	}
 	return descriptors, nil
 }
 
@@ -190,11 +193,14 @@
 	return closed
 }
 
-// resumePolling adds the connection to the poller again.
+// resumePolling adds the connection to the poller again, if it was removed: nbio closes one that it can't add, such as
+// one that it polls already.
 func (d *driver) resumePolling(c *socket) {
-	if !isClosed(c.nbConn) {
-		d.engine.AddConn(c.nbConn)
+	if c.polled || isClosed(c.nbConn) {
+		return
 	}
+	_, err := d.engine.AddConn(c.nbConn)
+	c.polled = err == nil
 }
 
 // stopPolling removes a descriptor from the poller's epoll set. nbio 1.6.8 leaves that to the kernel, which does it
--- a/internal/relay/transfer_test.go
+++ b/internal/relay/transfer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -160,3 +161,29 @@
 	require.NoError(t, err)
 	require.Equal(t, want, string(text))
 }
+
+// TestTransferWithoutDescriptorsKeepsTheSession: a session whose descriptors could not be duplicated for its transfer was
+// cut off without MOVE, as a connection that was still polled was added to the poller again.
+func TestTransferWithoutDescriptorsKeepsTheSession(t *testing.T) {
+	d, _ := newTestDriver(t)
+	startMachine(t, d)
+	d.discovery = newDiscoveryWatch(func(Event) {})
+	client, backend, _ := receiveFromParent(t, d, &TransferredSession{Version: handoffVersion, ID: "a", Class: "feed",
+		Tenant: "one", Backend: "b1", LeavesInMillis: -1})
+	both := sessionSockets{d.sockets[1], d.sockets[dialedIDBase+1]}
+	allowDescriptors := forbidDescriptors(t)
+	session, _ := d.detachSession(1, both)
+	allowDescriptors()
+	require.Nil(t, session)
+	require.Equal(t, 1, d.machine.Established)
+	requireForwards(t, client, backend)
+}
+
+// forbidDescriptors keeps the process from opening descriptors until allow is called.
+func forbidDescriptors(t *testing.T) (allow func()) {
+	t.Helper()
+	var limit syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 0, Max: limit.Max}))
+	return func() { require.NoError(t, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)) }
+}
