Move a received session by the earliest of the drains that concern it

Found by reading what a drained new process does with received sessions; not seen in service. A session whose backend drains too was held up to 3 s beyond the drain of the process that received it.

Cause: resumeTimers took the first of three times, not the earliest: the parent's, this process's drain, the backend's drain.

Change: all three count, by the rule that startDrain had (migrateBy).

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -85,11 +85,7 @@
 	m.lifecycle.startedAt = m.now
 	all := m.establishedSessions()
 	for i, session := range all {
-		at := m.migrationTime(i, len(all))
-		if session.migrationTimer.isSet() { // its backend drains: no later than already scheduled
-			at = min(at, session.migrationTimer.at)
-		}
-		m.timers.set(&session.migrationTimer, at)
+		m.migrateBy(session, m.migrationTime(i, len(all)))
 		if m.siblings.yielded {
 			m.requestTransfer(session)
 		}
@@ -98,6 +94,14 @@
 	m.timers.set(&m.lifecycle.timer, m.now+m.maxDrainTime())
 }
 
+// migrateBy schedules the migration of a session for the given time, in Unix milliseconds, unless it is to migrate
+// earlier, as its backend drains.
+func (m *StateMachine) migrateBy(session *session, at float64) {
+	if !session.migrationTimer.isSet() || at < session.migrationTimer.at {
+		m.timers.set(&session.migrationTimer, at)
+	}
+}
+
 // establishedSessions returns all established sessions, in the order in which their clients connected.
 func (m *StateMachine) establishedSessions() []*session {
 	var all []*session
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -321,17 +321,18 @@
 	return false
 }
 
-// resumeTimers sets the timers that a received session had at the parent.
+// resumeTimers sets the timers that a received session had at the parent. A drain of its backend or of this relay that
+// the parent does not know of counts as well; the earliest migration applies.
 func (m *StateMachine) resumeTimers(session *session, t *TransferredSession) {
 	if t.AwaitsReply {
 		m.timers.set(&session.stateTimer, m.now+replyTimeout)
 	}
-	switch backend := session.backendConn.backend; {
-	case t.LeavesInMillis >= 0:
+	if t.LeavesInMillis >= 0 {
 		m.timers.set(&session.migrationTimer, m.now+t.LeavesInMillis)
-	case m.lifecycle.drainRequested:
-		m.timers.set(&session.migrationTimer, max(m.now, m.migrationTime(0, 1)))
-	default:
-		m.scheduleMigration(backend, session, len(backend.sessions)-1)
+	}
+	backend := session.backendConn.backend
+	m.scheduleMigration(backend, session, len(backend.sessions)-1)
+	if m.lifecycle.drainRequested {
+		m.migrateBy(session, max(m.now, m.migrationTime(0, 1)))
 	}
 }
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -348,3 +348,32 @@
 	s.handle(2701, "came 1 OPEN z 1f c=feed,t=one,d=2000|")
 	assert.Equal(t, uint64(1), s.Requests, "a new client is served")
 }
+
+// TestDrainedChildMovesReceivedSessionsInTime: a drained child kept a session that its parent sent late for as long as the
+// backend's drain allowed, up to 3 s beyond its own drain. It has to hold no session then.
+func TestDrainedChildMovesReceivedSessionsInTime(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		at, leaves float64
+		movedAt    float64
+	}{
+		{"its backend drains later than the child", 3500, 1400, 3500},
+		{"its backend drains sooner", 600, 100, 700},
+		{"its backend does not drain", 3500, -1, 3500},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newHarness(t, nil, 0, "b1=active")
+			s.play("drained", step{100, "drain on", ""}, step{c.at - 1, "heard 1", ""})
+			s.detached = &TransferredSession{Version: handoffVersion, ID: "a", Class: "feed", Tenant: "one", Backend: "b1",
+				LeavesInMillis: c.leaves}
+			want := "accepted 7 s1"
+			if c.movedAt == c.at {
+				want += "; write 7 MOVE|; end 7; end s1"
+			}
+			s.play(c.name, step{c.at, "receive 7", want})
+			if c.movedAt > c.at {
+				s.play(c.name, step{c.movedAt - 1, "tick", ""}, step{c.movedAt, "tick", "write 7 MOVE|; end 7; end s1"})
+			}
+		})
+	}
+}
