Bound what is read from one connection before the others get their turn

Cause: readAvailable read a connection until nothing was left, and one goroutine reads all connections.

TestReadTurnIsBounded fails without the bound: 150 KiB are read in one turn.

Change: 64 KiB a turn; the level-triggered poller reports the rest again. nbio closes a connection after the turn in which it sees the peer's end, so one whose peer has closed is read to its end (TestPeerThatHasClosedIsReadInOneTurn fails with a turn that is bounded there too, planted).

Tests of relay pass with the race detector.

--- /dev/null
+++ b/internal/relay/reading_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+const floodBytes = 150 << 10 // more than is read in one turn, and little enough for the kernel to buffer
+
+// TestReadTurnIsBounded: a backend whose answer never ends kept the relay from reading any other connection, as it was
+// read until nothing was left.
+func TestReadTurnIsBounded(t *testing.T) {
+	d, c := newFloodedDriver(t, false)
+	buffer := make([]byte, readBufferBytes)
+	left := floodBytes
+	for left > maxTurnBytes {
+		d.readAvailable(c.nbConn, buffer)
+		require.Equal(t, left-maxTurnBytes, c.unreadBytes(t), "what one turn leaves")
+		left -= maxTurnBytes
+	}
+	d.readAvailable(c.nbConn, buffer)
+	assert.Zero(t, c.unreadBytes(t))
+	assert.False(t, isClosed(c.nbConn))
+}
+
+// TestPeerThatHasClosedIsReadInOneTurn: nbio closes a connection after the turn in which it sees the peer's end, so what
+// a bounded turn left unread would be lost.
+func TestPeerThatHasClosedIsReadInOneTurn(t *testing.T) {
+	d, c := newFloodedDriver(t, true)
+	d.readAvailable(c.nbConn, make([]byte, readBufferBytes))
+	assert.True(t, isClosed(c.nbConn), "it is read up to the end of the stream")
+}
+
+// newFloodedDriver returns a driver with a connection that it does not poll, on which floodBytes have arrived, and the
+// end of the stream too if it is closed.
+func newFloodedDriver(t *testing.T, closed bool) (*driver, *socket) {
+	t.Helper()
+	d, _ := newTestDriver(t)
+	startMachine(t, d)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	near, peer := connectPair(t, listener)
+	require.NoError(t, near.(*net.TCPConn).SetReadBuffer(2*floodBytes))
+	nbConn, err := nbio.NBConn(near)
+	require.NoError(t, err)
+	c := &socket{conn: 1, nbConn: nbConn}
+	nbConn.SetSession(c)
+	t.Cleanup(func() {
+		nbConn.Close()
+		peer.Close()
+	})
+	writeText(t, peer, string(make([]byte, floodBytes)))
+	if closed {
+		require.NoError(t, peer.(*net.TCPConn).CloseWrite())
+	}
+	require.Eventually(t, func() bool { return c.unreadBytes(t) == floodBytes && c.hasPeerEnded() == closed },
+		5*time.Second, time.Millisecond)
+	return d, c
+}
+
+// unreadBytes returns how many bytes have arrived and are not read yet.
+func (c *socket) unreadBytes(t *testing.T) int {
+	t.Helper()
+	unread, err := unix.IoctlGetInt(c.nbConn.Hash(), unix.TIOCINQ)
+	require.NoError(t, err)
+	return unread
+}
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -23,6 +23,7 @@
 
 const (
 	readBufferBytes  = 16 << 10 // size of the buffer for reads, in bytes
+	maxTurnBytes     = 64 << 10 // bytes read from one connection before others get their turn
 	maxUnsentBytes   = 64 << 10 // unsent bytes above which a peer is a slow reader and its connection is closed
 	unlimitedSockets = 1 << 30  // stands for no limit: more sockets than a process can open
 )
@@ -108,15 +109,21 @@
 	return nil
 }
 
-// readAvailable reads all available data, up to the end of the stream or the reset that may follow it.
+// readAvailable reads the available data, up to the end of the stream or the reset that may follow it, but no more than
+// maxTurnBytes from a peer that may send more: the poller reports what is left again, after the other connections had
+// their turn.
 func (d *driver) readAvailable(nbConn *nbio.Conn, buffer []byte) {
 	d.mutex.Lock() // nbio does not synchronize with the goroutine that set the session; this lock does
 	c := nbConn.Session().(*socket)
 	d.mutex.Unlock()
 	c.readMutex.Lock()
 	defer c.readMutex.Unlock()
-	for !c.transferred {
+	for turnBytes := 0; !c.transferred; {
+		if turnBytes >= maxTurnBytes && !c.hasPeerEnded() {
+			return
+		}
 		n, err := nbConn.Read(buffer)
+		turnBytes += max(n, 0)
 		switch {
 		case n > 0 && c.closing.Load():
 			c.discardedBytes += n
@@ -139,6 +146,14 @@
 	}
 }
 
+// hasPeerEnded reports whether the peer has closed or reset the connection, though data may be left to read. nbio closes
+// the connection after the turn in which its poller reports that, so all data has to be read in this turn.
+func (c *socket) hasPeerEnded() bool {
+	poll := []unix.PollFd{{Fd: int32(c.nbConn.Hash()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err != nil || n > 0
+}
+
 // firstDataWaited returns for how many milliseconds a client's first data, counted from its last byte, waited to be
 // read, and 0 for all later data. The kernel's clock for this has a resolution of a few milliseconds.
 func (c *socket) firstDataWaited() float64 {
