--- a/internal/relay/reading_test.go
+++ b/internal/relay/reading_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,6 +38,27 @@
 	assert.True(t, isClosed(c.nbConn), "it is read up to the end of the stream")
 }
 
+// TestLastLinesOfAClosedBackendArrive: a bounded turn must not cost the lines of a backend that sends much and closes.
+func TestLastLinesOfAClosedBackendArrive(t *testing.T) {
+	d, _ := newTestDriver(t)
+	startMachine(t, d)
+	d.discovery = newDiscoveryWatch(func(Event) {})
+	client, backend, _ := receiveFromParent(t, d, &TransferredSession{Version: handoffVersion, ID: "a", Class: "feed",
+		Tenant: "one", Backend: "b1", LeavesInMillis: -1})
+	d.mutex.Lock()
+	c := d.sockets[dialedIDBase+1]
+	d.mutex.Unlock()
+	c.readMutex.Lock() // the poller waits until everything has arrived
+	require.NoError(t, c.nbConn.SetReadBuffer(2*floodBytes))
+	lines := strings.Repeat(strings.Repeat("x", 1022)+"\r\n", floodBytes/1024)
+	writeText(t, backend, lines)
+	require.NoError(t, backend.Close())
+	require.Eventually(t, func() bool { return c.unreadBytes(t) == len(lines) && c.hasPeerEnded() },
+		5*time.Second, time.Millisecond)
+	c.readMutex.Unlock()
+	requireReads(t, client, lines)
+}
+
 // newFloodedDriver returns a driver with a connection that it does not poll, on which floodBytes have arrived, and the
 // end of the stream too if it is closed.
 func newFloodedDriver(t *testing.T, closed bool) (*driver, *socket) {
