--- a/internal/relay/accept_test.go
+++ b/internal/relay/accept_test.go
@@ -52,13 +52,10 @@
 	}
 }
 
-// newAcceptingDriver returns a driver with a state machine and a listener, but without its accept loop. Events come from
-// the test and from its connections alone, as those of the watch are dropped.
+// newAcceptingDriver returns a driver with a state machine and a listener, but without its accept loop.
 func newAcceptingDriver(t *testing.T) (*driver, net.Listener) {
 	t.Helper()
-	d, _ := newTestDriver(t)
-	startMachine(t, d)
-	d.discovery = newDiscoveryWatch(func(Event) {})
+	d := newUnwatchedDriver(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { listener.Close() })
--- a/internal/relay/driver_harness_test.go
+++ b/internal/relay/driver_harness_test.go
@@ -123,6 +123,16 @@
 	d.discovery = newDiscoveryWatch(d.handle)
 }
 
+// newUnwatchedDriver returns a driver with a state machine whose watch of the endpoint list reports nothing: events come
+// from the test and from connections alone.
+func newUnwatchedDriver(t *testing.T) *driver {
+	t.Helper()
+	d, _ := newTestDriver(t)
+	startMachine(t, d)
+	d.discovery = newDiscoveryWatch(func(Event) {})
+	return d
+}
+
 // writeAndClose writes to connection 1, and closes it once everything is sent.
 func writeAndClose(d *driver, chunks ...[]byte) {
 	d.mutex.Lock()
