Relay: one way to add a socket to the poller, and to join chunks

Read once more: adding a socket to nbio's poller stood three times, joining chunks twice, a test opened a connection that connectUnpolled opens. Behaviour and checks stay as they are.

--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -321,8 +321,8 @@
 	return false
 }
 
-// resumeTimers sets the timers that a received session had at the parent. A drain of its backend or of this relay that
-// the parent does not know of counts as well; the earliest migration applies.
+// resumeTimers sets the timers that a received session had at the parent. If the parent has not scheduled its migration,
+// a drain of its backend does. A drain of this relay migrates it no later than the drain allows.
 func (m *StateMachine) resumeTimers(session *session, t *TransferredSession) {
 	if t.AwaitsReply {
 		m.timers.set(&session.stateTimer, m.now+replyTimeout)
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -364,8 +364,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := newHarness(t, nil, 0, "b1=active")
 			s.play("drained", step{100, "drain on", ""}, step{c.at - 1, "heard 1", ""})
-			s.detached = &TransferredSession{Version: handoffVersion, ID: "a", Class: "feed", Tenant: "one", Backend: "b1",
-				LeavesInMillis: c.leaves}
+			s.detached = parentSession(false)
+			s.detached.LeavesInMillis = c.leaves
 			want := "accepted 7 s1"
 			if c.movedAt == c.at {
 				want += "; write 7 MOVE|; end 7; end s1"
--- a/internal/relay/reading_test.go
+++ b/internal/relay/reading_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/lesismal/nbio"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
@@ -61,17 +60,11 @@
 func newFloodedDriver(t *testing.T, closed bool) (*driver, *socket) {
 	t.Helper()
 	d := newUnwatchedDriver(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	near, peer := connectPair(t, listener)
-	require.NoError(t, near.(*net.TCPConn).SetReadBuffer(2*floodBytes))
-	nbConn, err := nbio.NBConn(near)
-	require.NoError(t, err)
-	c := &socket{conn: 1, nbConn: nbConn}
-	nbConn.SetSession(c)
+	peer := connectUnpolled(t, d)
+	c := d.sockets[1]
+	require.NoError(t, c.nbConn.SetReadBuffer(2*floodBytes))
 	t.Cleanup(func() {
-		nbConn.Close()
+		c.nbConn.Close()
 		peer.Close()
 	})
 	writeText(t, peer, string(make([]byte, floodBytes)))
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -15,7 +15,7 @@
 )
 
 // receiveSession takes over a session that the parent sends, and reports whether it did. If the parent confirms the
-// release of its descriptors, nothing is read or written until the returned function is called.
+// release of its descriptors, nothing is read, written or closed until the returned function is called.
 func (d *driver) receiveSession(text []byte, files [hotrestart.FilesPerSession]*os.File) (accepted bool, released func()) {
 	session := &TransferredSession{}
 	if json.Unmarshal(text, session) != nil {
@@ -97,12 +97,11 @@
 		if d.sockets[c.conn] != c {
 			continue
 		}
-		if _, err := d.engine.AddConn(c.nbConn); err != nil {
+		if d.poll(c) != nil {
 			d.removeSocket(c)
 			d.workers.run(func() { d.handle(ConnClosed{Conn: c.conn, Reset: true}) })
 			continue
 		}
-		c.polled = true
 		d.carryOutDeferred(c)
 	}
 }
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -101,11 +101,20 @@
 func (d *driver) addPolled(c *socket) error {
 	d.evictClosing(1)
 	c.nbConn.SetSession(c)
+	if err := d.poll(c); err != nil {
+		return err
+	}
+	d.sockets[c.conn] = c
+	return nil
+}
+
+// poll adds the socket to nbio's poller. nbio closes a connection that it can't add, such as one that it polls already.
+// The caller holds d.mutex.
+func (d *driver) poll(c *socket) error {
 	if _, err := d.engine.AddConn(c.nbConn); err != nil {
 		return fmt.Errorf("poll connection: %w", err)
 	}
 	c.polled = true
-	d.sockets[c.conn] = c
 	return nil
 }
 
--- a/internal/relay/transfer.go
+++ b/internal/relay/transfer.go
@@ -191,14 +191,12 @@
 	return closed
 }
 
-// resumePolling adds the connection to the poller again, if it was removed: nbio closes one that it can't add, such as
-// one that it polls already.
+// resumePolling adds the connection to the poller again, if it was removed. If nbio can't add it, its close is reported
+// like any other.
 func (d *driver) resumePolling(c *socket) {
-	if c.polled || isClosed(c.nbConn) {
-		return
+	if !c.polled && !isClosed(c.nbConn) {
+		_ = d.poll(c)
 	}
-	_, err := d.engine.AddConn(c.nbConn)
-	c.polled = err == nil
 }
 
 // stopPolling removes a descriptor from the poller's epoll set. nbio 1.6.8 leaves that to the kernel, which does it
--- a/internal/relay/writing.go
+++ b/internal/relay/writing.go
@@ -16,7 +16,7 @@
 	switch {
 	case c == nil:
 	case c.awaitsRelease:
-		c.deferWrite(chunks)
+		c.deferWrite(d.join(chunks))
 	case len(chunks) == 1:
 		c.writeChunk(chunks[0])
 	case len(chunks) > maxGatheredChunks || c.unsent.Load() > 0:
@@ -35,12 +35,10 @@
 	return d.joined
 }
 
-// deferWrite keeps the chunks until the connection is released.
-func (c *socket) deferWrite(chunks [][]byte) {
-	for _, chunk := range chunks {
-		c.deferredWrites = append(c.deferredWrites, chunk...)
-		c.unsent.Add(int64(len(chunk)))
-	}
+// deferWrite keeps a copy of the data until the connection is released.
+func (c *socket) deferWrite(data []byte) {
+	c.deferredWrites = append(c.deferredWrites, data...)
+	c.unsent.Add(int64(len(data)))
 }
 
 // writeGathered writes chunks in one system call. Nothing is unsent, and there are at most maxGatheredChunks.
