Replication: a lookup that nobody answered is not taken for "no marker"

Cause: each end of a lookup but "found" counted as "no earlier attempt", also where no relay could be asked (a relay that has just started knows none) or too few had answered in 50 ms.

An undecided marker is looked up again every 10 ms for a quarter of the client's time, then the attempt counts as executed (ERR; also at the end of a drain, where it was BUSY). "Not held" needs so many replies that a replica is among them even if f of them lost the record. A suspended relay brings its view of the members up to date each tick.

Relay, fleet and replication pass with the race detector.

--- a/internal/fleet/replicated_records.go
+++ b/internal/fleet/replicated_records.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -227,8 +228,22 @@
 		Record:  request.Record,
 		Conn:    request.Conn,
 		Key:     request.Key,
-		Found:   succeeded,
+		Answer:  lookupAnswer(outcome.Err),
 		At:      outcome.Record.ValidFrom - c.fleetClockOffset,
 		Backend: string(outcome.Record.Body),
 	}}}
 }
+
+// lookupAnswer returns what a lookup that ended with the error has told of the record.
+func lookupAnswer(err error) relay.LookupAnswer {
+	switch {
+	case err == nil:
+		return relay.RecordHeld
+	case errors.Is(err, replication.ErrNotFound):
+		return relay.RecordNotHeld
+	case errors.Is(err, replication.ErrNobodyAsked):
+		return relay.NobodyAsked
+	default:
+		return relay.LookupTooLate
+	}
+}
--- a/internal/fleet/replication.go
+++ b/internal/fleet/replication.go
@@ -120,7 +120,7 @@
 	if state == nil {
 		return nil
 	}
-	if now >= state.nextViewAt {
+	if now >= state.nextViewAt || state.replicator.IsSuspended() {
 		state.nextViewAt = now + viewIntervalMillis
 		c.updateReplicationView(now)
 	}
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -46,7 +46,6 @@
 // assign has the balancer assign a session whose lookups at other relays are finished or given up.
 func (m *StateMachine) assign(session *session) {
 	m.timers.stop(&session.stateTimer)
-	session.pendingLookups = 0
 	m.enter(session, queued)
 	m.queue.dispatcher.Assign(m.now, session)
 }
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -37,6 +37,7 @@
 	AttemptsMarked         uint64 // requests sent with an attempt marker
 	AttemptsUnmarked       uint64 // requests sent without an attempt marker although one was needed
 	RepeatsDetected        uint64 // client retries whose earlier attempt had a marker
+	LookupsUndecided       uint64 // client retries for which no relay could tell whether their earlier attempt ran
 	AffinityHits           uint64 // clients whose backend was found in an affinity record
 
 	EndReasons [len(endReasonNames)]uint64 // ended attempts and sessions, by EndReason
@@ -79,6 +80,7 @@
 			"marked", c.AttemptsMarked,
 			"unmarked", c.AttemptsUnmarked,
 			"repeats", c.RepeatsDetected,
+			"undecided", c.LookupsUndecided,
 			"returned", c.AffinityHits),
 		slog.Group("endings", endReasons...),
 		slog.Group("bad clients", requestErrors...),
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -154,7 +154,7 @@
 		m.recordReplicated(conn.id, false)
 	case lookingUp:
 		session.Deadline = m.now
-		m.assign(session)
+		m.endLookups(session)
 	case queued:
 		session.Deadline = m.now
 		m.queue.dispatcher.Assign(m.now, session)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -154,7 +154,7 @@
 		Record  RecordKind
 		Conn    uint64
 		Key     uint64
-		Found   bool
+		Answer  LookupAnswer
 		Backend string  // name of the backend, in an AttemptRecord or AffinityRecord
 		At      float64 // ReservationRecord: when the client was told to retry; AttemptRecord: when the request was first sent
 	}
--- a/internal/relay/replication.go
+++ b/internal/relay/replication.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	replicationTimeout = 8.0  // most ms that an answer or a request waits for other relays to hold a record
-	lookupTimeout      = 50.0 // most ms that a retry waits to learn of an earlier attempt
-	lookupTimeShare    = 0.25 // share of a retry's remaining time that it may wait for a lookup
-	minRejectionWait   = 1.0  // ms, the shortest wait that a client is told after its rejection was replicated
+	replicationTimeout = 8.0 // most ms that an answer or a request waits for other relays to hold a record
+	minRejectionWait   = 1.0 // ms, the shortest wait that a client is told after its rejection was replicated
 )
 
 // replicationState is what this relay replicates at other relays.
@@ -224,59 +222,3 @@
 			Key: affinityKey(session)})
 	}
 }
-
-// Lookups before a retry is assigned.
-
-// lookUpForRetry looks up, for a client that says it has tried or been established before, the marker of its earlier
-// attempt and the backend of its earlier session or its group. It reports whether the session waits for the results.
-func (m *StateMachine) lookUpForRetry(session *session) bool {
-	if !session.request.IsRetry || !m.replication.enabled {
-		return false
-	}
-	wait := 0.0
-	if m.replicatesAffinity(session) {
-		wait = m.lookUp(session, AffinityRecord, affinityKey(session), wait, replicationTimeout)
-	}
-	if m.needsMarker(session) {
-		wait = m.lookUp(session, AttemptRecord, session.Key, wait, lookupTimeout)
-	}
-	if session.pendingLookups == 0 {
-		return false
-	}
-	m.enter(session, lookingUp)
-	session.stateTimer.fire = func() { m.assign(session) }
-	m.timers.set(&session.stateTimer, m.now+wait)
-	return true
-}
-
-// lookUp starts the lookup of one record, and returns how many milliseconds the session waits: for this lookup, or the
-// given wait if that is longer.
-func (m *StateMachine) lookUp(session *session, record RecordKind, key uint64, wait, timeout float64) float64 {
-	wait = max(wait, min(timeout, (session.Deadline-m.now)*lookupTimeShare))
-	session.pendingLookups++
-	m.effects.replicate(ReplicationRequest{Operation: Lookup, Record: record, Conn: session.clientConn.id, Key: key,
-		At: m.now + wait})
-	return wait
-}
-
-// finishLookup passes what was found to the balancer, and has the session assigned once no lookup is pending.
-func (m *StateMachine) finishLookup(session *session, e RecordFound) {
-	backend := m.endpoints.byName[e.Backend]
-	switch {
-	case !e.Found:
-	case e.Record == AttemptRecord:
-		m.RepeatsDetected++
-		id := uint32(0) // not a known backend, so that the failure scope of a session that refers to it is unknown, too
-		if backend != nil {
-			id = backend.id
-		}
-		m.balancer().RecordEarlierAttempt(&session.Entry.Session, id, e.At)
-	case backend != nil:
-		m.AffinityHits++
-		m.balancer().PreferBackend(&session.Entry.Session, backend.id)
-	}
-	session.pendingLookups--
-	if session.pendingLookups <= 0 {
-		m.assign(session)
-	}
-}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -67,7 +67,7 @@
 	markerConn     uint64
 	markerDeadline float64 // Unix milliseconds until which the request waits for its marker; 0: it does not wait
 	affinityConn   uint64  // the connection under which its affinity record was replicated; 0: none was
-	pendingLookups int     // lookups at other relays without an answer yet
+	lookups        retryLookups
 
 	endAnnounced    bool      // the backend has sent BYE or MOVE: the session is about to end
 	endReason       EndReason // why it is about to end; set with endAnnounced
--- a/internal/replication/lookup.go
+++ b/internal/replication/lookup.go
@@ -33,12 +33,25 @@
 		deadline: now + timeout,
 		targets:  r.lookupTargets(key),
 	}
-	if len(r.operations) >= maxOperations || len(op.targets) == 0 || key == "" || len(key) > maxKeyBytes {
-		return op.token, []Action{{Outcome: &Outcome{Token: op.token, Record: op.record, Err: errLookupNotStarted}}}
+	if err := r.checkLookup(op); err != nil {
+		return op.token, []Action{{Outcome: &Outcome{Token: op.token, Record: op.record, Err: err}}}
 	}
 	return op.token, r.startPhase(now, op)
 }
 
+func (r *Replicator) checkLookup(op *operation) error {
+	switch {
+	case len(r.operations) >= maxOperations:
+		return errTooManyOperations
+	case len(op.targets) == 0:
+		return ErrNobodyAsked
+	case op.record.Key == "" || len(op.record.Key) > maxKeyBytes:
+		return errInvalidRecord
+	default:
+		return nil
+	}
+}
+
 func (r *Replicator) lookupTargets(key string) []Member {
 	return r.members.rank(key, r.copies+extraLookupTargets, true)
 }
@@ -56,7 +69,7 @@
 	case candidate == nil && len(op.usedIDs) > 0:
 		return r.finish(op, errAlreadyUsed)
 	case candidate == nil:
-		return r.finish(op, errNotFound)
+		return r.finish(op, r.absence(op))
 	case candidate.Kind.isSingleUse():
 		return r.acquireCandidate(now, op, *candidate)
 	case !allReplied && !candidate.Kind.isBestEffort():
@@ -67,6 +80,21 @@
 	}
 }
 
+// absence returns what a lookup that has found no record tells. The record counts as not found only if one of its
+// replicas must be among the members that replied, even if as many of the replicas have lost it as replication is to
+// survive. A suspended relay may not know all members that are to be asked.
+func (r *Replicator) absence(op *operation) error {
+	survivedLosses := (r.copies - 1) / 2
+	switch {
+	case r.suspended || len(op.targets)+survivedLosses < r.copies:
+		return ErrNobodyAsked
+	case len(op.replies)+survivedLosses < max(len(op.targets), r.copies):
+		return ErrMissingReplies
+	default:
+		return ErrNotFound
+	}
+}
+
 // acquireCandidate starts to acquire a record. If it is too early for that, the operation fails without using the
 // record, and the client can try again later.
 func (r *Replicator) acquireCandidate(now float64, op *operation, candidate Record) []Action {
@@ -142,7 +170,7 @@
 	if !op.record.Kind.isSingleUse() {
 		candidate := r.bestCandidate(now, op)
 		if candidate == nil {
-			return r.finish(op, errMissingReplies)
+			return r.finish(op, r.absence(op))
 		}
 		op.record = *candidate
 		return r.finish(op, nil)
--- a/internal/replication/operation.go
+++ b/internal/replication/operation.go
@@ -20,17 +20,24 @@
 var (
 	errTooManyOperations = errors.New("too many operations under way")
 	errInvalidRecord     = errors.New("the record is invalid or has expired")
-	errLookupNotStarted  = errors.New("lookup not started: no members, too many operations or an invalid key")
 	errReplicaRejected   = errors.New("a replica rejected the record")
 	errAlreadyUsed       = errors.New("the record has already been used")
-	errNotFound          = errors.New("no member has the record")
 	errTooEarly          = errors.New("the record is not valid yet")
 	errContended         = errors.New("concurrent operations outbid every attempt to acquire the record")
 	errSealed            = errors.New("the record was discarded by its owner")
-	errMissingReplies    = errors.New("no record found before the deadline, and not all members replied")
 	errTimeout           = errors.New("timed out")
 )
 
+// Errors with which lookups of records that aren't single-use end. Any other one says nothing about the record.
+var (
+	// ErrNotFound: so many members have replied that one of them would have the record.
+	ErrNotFound = errors.New("no member has the record")
+	// ErrNobodyAsked: no member, or too few of them, are known yet.
+	ErrNobodyAsked = errors.New("too few members are known to ask")
+	// ErrMissingReplies: a member that has not replied may have the record.
+	ErrMissingReplies = errors.New("no record found before the deadline, and too few members replied")
+)
+
 // operation is a replication, acquisition or lookup that this relay has started.
 type operation struct {
 	token    uint64
--- a/internal/replication/replicator.go
+++ b/internal/replication/replicator.go
@@ -94,6 +94,9 @@
 // name.
 func (r *Replicator) SetSuspended(suspended bool) { r.suspended = suspended }
 
+// IsSuspended reports whether this relay is suspended.
+func (r *Replicator) IsSuspended() bool { return r.suspended }
+
 // HandleMessage handles a message that came from an address. It returns an error if the message can't be decoded.
 func (r *Replicator) HandleMessage(now float64, from string, data []byte) ([]Action, error) {
 	m, err := decodeMessage(data)
