--- a/internal/relay/golden_test.go
+++ b/internal/relay/golden_test.go
@@ -66,6 +66,7 @@
 		Load: 40000.5, LoadMeasured: true, PartialLine: []byte("half a li"), AwaitsReply: true,
 		LeavesInMillis: 250.5, Descriptors: 510, Sessions: 127,
 		ConfirmsRelease: true,
+		ReplyInMillis:   3000.5, IdleInMillis: 19000.5, BackendDataAgoMillis: 700.5,
 	}},
 	{"news.json", goldenEndpoints()},
 	{"toward.json", &[]ZoneWeight{
--- a/internal/relay/handoff.go
+++ b/internal/relay/handoff.go
@@ -199,8 +199,16 @@
 	Descriptors     int     `json:"Files"`  // descriptors that the parent limits itself to from now on
 	Sessions        int     `json:"Links"`  // sessions that the parent limits itself to from now on
 	ConfirmsRelease bool    `json:"Frees"`  // the parent confirms when it has closed its own descriptors
+
+	// Times in milliseconds; 0: the parent's version does not tell.
+	ReplyInMillis        float64 `json:"ReplyIn,omitempty"`  // left for the reply, if AwaitsReply
+	IdleInMillis         float64 `json:"IdleIn,omitempty"`   // left for the client's next data
+	BackendDataAgoMillis float64 `json:"HeardAgo,omitempty"` // since the backend last sent data on any session
 }
 
+// minTransferredTime is the shortest time in milliseconds that is transferred, as 0 means that it is not told.
+const minTransferredTime = 1.0
+
 // requestTransfer asks the driver to send the session to the child when its sockets allow it.
 func (m *StateMachine) requestTransfer(session *session) {
 	m.effects.add(&TransferSession{ClientConn: session.clientConn.id, BackendConn: session.backendConn.id})
@@ -237,10 +245,23 @@
 		ConfirmsRelease: true,
 	}
 	t.Load, t.LoadMeasured = session.Entry.Session.Load()
+	m.describeTimers(session, t)
+	return t
+}
+
+// describeTimers tells what is left of the session's times, so that the child does not start them anew.
+func (m *StateMachine) describeTimers(session *session, t *TransferredSession) {
+	backend := session.backendConn.backend
+	if t.AwaitsReply {
+		t.ReplyInMillis = max(session.stateTimer.at-m.now, minTransferredTime)
+	}
+	t.IdleInMillis = max(session.clientConn.deadline.at-m.now, minTransferredTime)
+	if backend.lastDataAt > 0 {
+		t.BackendDataAgoMillis = max(m.now-backend.lastDataAt, minTransferredTime)
+	}
 	if backend.condition != balancer.Ready && session.migrationTimer.isSet() {
 		t.LeavesInMillis = max(session.migrationTimer.at-m.now, 0)
 	}
-	return t
 }
 
 // finishTransfer handles the result of a transfer: the child has the session, or it stays here.
@@ -325,14 +346,27 @@
 // a drain of its backend does. A drain of this relay migrates it no later than the drain allows.
 func (m *StateMachine) resumeTimers(session *session, t *TransferredSession) {
 	if t.AwaitsReply {
-		m.timers.set(&session.stateTimer, m.now+replyTimeout)
+		m.timers.set(&session.stateTimer, m.now+remainingTime(t.ReplyInMillis, replyTimeout))
 	}
+	m.timers.set(&session.clientConn.deadline, m.now+remainingTime(t.IdleInMillis, clientIdleTimeout))
 	if t.LeavesInMillis >= 0 {
 		m.timers.set(&session.migrationTimer, m.now+t.LeavesInMillis)
 	}
 	backend := session.backendConn.backend
+	if t.BackendDataAgoMillis > 0 {
+		backend.lastDataAt = max(backend.lastDataAt, m.now-t.BackendDataAgoMillis)
+	}
 	m.scheduleMigration(backend, session, len(backend.sessions)-1)
 	if m.lifecycle.drainRequested {
 		m.migrateBy(session, max(m.now, m.migrationTime(0, 1)))
 	}
 }
+
+// remainingTime returns how many milliseconds are left of a timeout, of which the parent has told that many are left. The
+// whole timeout is left if it has told nothing, or more than there can be.
+func remainingTime(told, timeout float64) float64 {
+	if told > 0 && told < timeout {
+		return told
+	}
+	return timeout
+}
--- a/internal/relay/handoff_test.go
+++ b/internal/relay/handoff_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -284,6 +285,64 @@
 		step{1801, "tick", "write 7 MOVE|; end 7; end s1"})
 }
 
+// TestTransferredTimesGoOn guards against a silent connection that is held: the child started the time for a reply, and
+// that for a client's next data, anew (7.8 s instead of 4 s; each further replacement added up to 4 s).
+func TestTransferredTimesGoOn(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		before  []step // at the parent, whose session was established at 102
+		times   TransferredSession
+		movedAt float64 // by the child, which receives the session at 3900
+	}{
+		{"for the reply to a line", []step{{1000, "came 1 ask|", "write s1 ask|"}},
+			TransferredSession{ReplyInMillis: 1100, IdleInMillis: 17100}, 5000},
+		{"for the client's next data", []step{{1000, "came 1 ask|", "write s1 ask|"}, {1001, "came s1 LOAD 7|", "write 1 LOAD 7|"}},
+			TransferredSession{IdleInMillis: 17100, BackendDataAgoMillis: 2899}, 21000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			parent := newHarness(t, nil, 0, "b1=active")
+			parent.establishSession()
+			parent.handle(900, "heard 1")
+			parent.play(c.name, c.before...)
+			parent.handle(3800, "heard 1")
+			parent.play(c.name, step{3900, "detach 1", "detached 1"})
+			sent := parent.detached
+			assert.Equal(t, c.times, TransferredSession{ReplyInMillis: sent.ReplyInMillis, IdleInMillis: sent.IdleInMillis,
+				BackendDataAgoMillis: sent.BackendDataAgoMillis})
+			s := newHarness(t, nil, 0, "b1=active")
+			s.detached = sent
+			s.play(c.name, step{1, "heard 1", ""}, step{3900, "receive 7", "accepted 7 s1"})
+			s.requireMoveAt(c.movedAt)
+		})
+	}
+}
+
+// requireMoveAt requires that the session of client 7 is migrated at that time, and not earlier.
+func (s *harness) requireMoveAt(at float64) {
+	s.t.Helper()
+	for now := s.now; now < at; now += 100 { // in steps, so that the process does not count as suspended
+		require.NotContains(s.t, s.handle(now, "heard 1"), "MOVE", now)
+	}
+	s.play("the last moment", step{at - 1, "tick", ""}, step{at, "tick", "write 7 MOVE|; end 7; end s1"})
+}
+
+// TestTimesOfAnOlderParentStartAnew: a parent of a version that tells no times, or one that tells nonsense.
+func TestTimesOfAnOlderParentStartAnew(t *testing.T) {
+	text, err := os.ReadFile("testdata/golden/passed-without-times.json")
+	require.NoError(t, err)
+	var older TransferredSession
+	require.NoError(t, json.Unmarshal(text, &older))
+	require.True(t, older.AwaitsReply)
+	for _, told := range []float64{0, -1, 1e9} {
+		session := older
+		session.Group, session.LeavesInMillis, session.ReplyInMillis, session.IdleInMillis = 0, -1, told, told
+		s := newHarness(t, nil, 0, "b1=active")
+		s.detached = &session
+		s.play("older", step{1, "heard 1", ""}, step{105, "receive 7", "accepted 7 s1"})
+		s.requireMoveAt(105 + replyTimeout)
+	}
+}
+
 // TestChildKeepsAccepting: a child with few descriptors keeps some for new clients. Polls or received sessions used to
 // take them all, so that clients were not accepted until the parent was gone (in 2 of 2,000 random experiments).
 func TestChildKeepsAccepting(t *testing.T) {
