Relay: a call to discovery that waits for its turn keeps it

Cause: a call without a line for 3.3 s was given up, as its connection may be lost.

StartWatch and StopWatch name the watches that stay; the driver and the simulation keep several.

--- a/internal/relay/carryout.go
+++ b/internal/relay/carryout.go
@@ -23,9 +23,10 @@
 		case *ReplicationRequest:
 			d.fleet.Replicate(*e)
 		case *StartWatch:
+			d.discovery.stopAllBut(e.Keep)
 			d.discovery.start(e.Address, e.Watch, e.After)
 		case *StopWatch:
-			d.discovery.stop()
+			d.discovery.stopAllBut(e.Keep)
 		case *SendHandoff, *SendEndpoints, *TransferSession, *SessionDetached, *SessionAccepted:
 			d.carryOutSiblingEffect(e)
 		default:
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,13 +22,12 @@
 
 var errWatchEnded = errors.New("watch: ended")
 
-// discoveryWatch watches the endpoint list at discovery over HTTP, one watch at a time, and passes what it receives to
-// the state machine as events, in order. It keeps no list, doesn't interpret entries, and doesn't decide when to ask
-// again.
+// discoveryWatch watches the endpoint list at discovery over HTTP, and passes what it receives to the state machine as
+// events, those of one watch in order. It keeps no list, doesn't interpret entries, and doesn't decide when to ask again.
 type discoveryWatch struct {
 	client *http.Client
 	handle func(Event)
-	stop   context.CancelFunc // ends the open watch
+	stops  map[uint64]context.CancelFunc // by the ID of a watch that was not stopped: ends it
 }
 
 func newDiscoveryWatch(handle func(Event)) *discoveryWatch {
@@ -36,16 +36,25 @@
 	return &discoveryWatch{
 		client: &http.Client{Transport: transport},
 		handle: handle,
-		stop:   func() {},
+		stops:  map[uint64]context.CancelFunc{},
 	}
 }
 
-// start opens a watch with that ID in place of the previous one. Late events of the previous watch carry its own ID, by
-// which the state machine drops them. The goroutine ends soon after the watch is stopped; its last event is WatchFailed.
+// stopAllBut ends all watches but those with the given IDs. Late events of a watch that has ended carry its ID, by which
+// the state machine drops them.
+func (d *discoveryWatch) stopAllBut(keep []uint64) {
+	for id, stop := range d.stops {
+		if !slices.Contains(keep, id) {
+			stop()
+			delete(d.stops, id)
+		}
+	}
+}
+
+// start opens a watch with that ID. The goroutine ends soon after the watch is stopped; its last event is WatchFailed.
 func (d *discoveryWatch) start(address string, id, after uint64) {
-	d.stop()
 	ctx, cancel := context.WithCancel(context.Background())
-	d.stop = cancel
+	d.stops[id] = cancel
 	go func() {
 		err := d.follow(ctx, address, id, after)
 		cancel()
--- a/internal/relay/effects.go
+++ b/internal/relay/effects.go
@@ -56,15 +56,19 @@
 
 // Effects on the watch of the endpoint list.
 type (
-	// StartWatch starts a watch, with the ID Watch, of the list at the address. It replaces any other watch.
+	// StartWatch starts a watch, with the ID Watch, of the list at the address. It replaces any other watch but
+	// those in Keep.
 	StartWatch struct {
 		Watch   uint64
 		After   uint64 // version after which changes are requested; 0: the whole list
 		Address string
+		Keep    []uint64 // IDs of watches that stay open
 	}
 
-	// StopWatch stops the watch.
-	StopWatch struct{}
+	// StopWatch stops all watches but those in Keep.
+	StopWatch struct {
+		Keep []uint64 // IDs of watches that stay open
+	}
 )
 
 // Effects on the other process of this relay.
--- a/internal/testbed/sim/infrastructure.go
+++ b/internal/testbed/sim/infrastructure.go
@@ -82,7 +82,7 @@
 func (s *Sim) SetImpairment(from, to int, impairment experiment.Impairment) {
 	s.impairments[[2]int{from, to}] = impairment
 	if impairment.Reset && from == experiment.Discovery && !s.machines[to].process.isExited {
-		s.machines[to].process.resetWatch()
+		s.machines[to].process.resetWatches()
 	}
 }
 
