Relay: a whole list of an older version is used as it is

Cause: a call for changes after a version that was answered by the whole list with a lower version had the list dropped and asked for again, by a call that waits for its turn anew.

Change: only changes up to an older version make the relay ask for the whole list.

--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -95,7 +95,7 @@
 		m.correctClockSkew()
 	}
 	m.endpoints.confirm()
-	if e.Update.Index < m.endpoints.index && (m.watch.after > 0 || !e.Update.Complete) {
+	if e.Update.Index < m.endpoints.index && !e.Update.Complete {
 		m.restartFromOlderVersion(e.Update.Index)
 		return
 	}
@@ -120,7 +120,7 @@
 	}
 }
 
-// restartFromOlderVersion asks for the whole list when discovery has gone back to an older version than the one held.
+// restartFromOlderVersion asks for the whole list when discovery has sent changes up to an older version than the one held.
 // It asks at once if this watch began at a known version: a discovery that has restarted its version count may have
 // drained a backend just now. Otherwise the watch counts as failed, so that the relay doesn't ask again without end.
 func (m *StateMachine) restartFromOlderVersion(index uint64) {
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -28,6 +28,19 @@
 	assert.Equal(t, balancer.Gone, s.endpoints.findOrAdd("b2").condition)
 }
 
+// TestWholeListOfAnOlderVersionIsUsed guards against new work for a draining backend: a discovery that counts its versions
+// anew answered a call for changes with the whole list, which the relay dropped and asked for again, slowly.
+func TestWholeListOfAnOlderVersionIsUsed(t *testing.T) {
+	s := newHarness(t, nil, 0, "b1=active")
+	s.play("discovery is lost and comes back", step{100, "news 1 9 whole b1=active b2=active", ""}, step{200, "failed 1", ""},
+		step{1800, "tick", "watch 2 after 9"}, step{1801, "news 2 3 whole b1=leaving", ""})
+	assert.Equal(t, balancer.Draining, s.endpoints.findOrAdd("b1").condition)
+	assert.Equal(t, balancer.Gone, s.endpoints.findOrAdd("b2").condition)
+	assert.Equal(t, uint64(3), s.endpoints.index)
+	s.play("its changes count from there", step{1802, "news 2 4 delta b1=active", ""})
+	assert.Equal(t, balancer.Ready, s.endpoints.findOrAdd("b1").condition)
+}
+
 // TestReload: a reload keeps the known list, asks a new discovery again soon if it fails, and accepts its lower
 // versions.
 func TestReload(t *testing.T) {
