Relay: an answer to a load poll has a largest size

Cause: lines behind a poll's answer were ignored one by one, without a bound: a relay spent its time on an answer that never ends.

Change: what a backend sends from one poll to the next may have 4,096 bytes, the length of a line; beyond it the poll has failed and its connection is reset.

Measured: TestPollAnswerHasALargestSize; its case "more lines" and the pieces behind an answer failed before.

--- a/internal/relay/conns.go
+++ b/internal/relay/conns.go
@@ -24,6 +24,9 @@
 	lastDataAt float64 // when a part of the request last arrived, in Unix milliseconds
 	pings      uint8   // PING lines received before the request; at most maxPings+1
 
+	// Poll connections only.
+	polledBytes int // bytes that the backend has sent since the last poll
+
 	// Backend connections only.
 	isConnected      bool    // the connection is established
 	awaitsMarker     bool    // the connection is established, and its request waits until the attempt marker is replicated
--- a/internal/relay/endpoints.go
+++ b/internal/relay/endpoints.go
@@ -44,6 +44,8 @@
 	received   bool    // an update from discovery has been applied
 	confirmed  bool    // discovery has sent the list, or confirmed that the one held is current
 	clockAhead float64 // milliseconds by which this relay's clock is ahead of the fleet's reference clock
+
+	nextErrorLogAt float64 // earliest time of the next log line about answers to polls, in Unix milliseconds
 }
 
 func newEndpointSet(zones map[string]int) endpointSet {
--- a/internal/relay/polling.go
+++ b/internal/relay/polling.go
@@ -5,6 +5,9 @@
 // pollTimeoutFactor times the connect timeout is the timeout of a poll.
 const pollTimeoutFactor = 2
 
+// maxPollAnswerBytes is the largest size of what a backend may send from one poll to the next.
+const maxPollAnswerBytes = protocol.MaxLineBytes
+
 // Requests that polls send: for a load report, and for a sign of life alone.
 const (
 	reportPoll = "STATS\r\n"
@@ -38,6 +41,7 @@
 
 // sendPoll sends a poll, which asks for a load report if backends give any.
 func (m *StateMachine) sendPoll(backend *backend) {
+	backend.pollConn.polledBytes = 0
 	if len(m.rules.reportFields) > 0 {
 		m.write(backend.pollConn, []byte(reportPoll))
 	} else {
@@ -53,13 +57,19 @@
 	}
 }
 
-// receivePollAnswer handles data on a poll connection: the backend's answers to polls.
+// receivePollAnswer handles data on a poll connection: the backend's answers to polls. A backend that sends more than an
+// answer can have loses the connection: relays would spend their time on what nobody asked for.
 func (m *StateMachine) receivePollAnswer(conn *connection, data []byte) {
 	backend := conn.backend
+	conn.polledBytes += len(data)
+	if conn.polledBytes > maxPollAnswerBytes {
+		m.rejectPollAnswer(backend)
+		return
+	}
 	for backend.pollConn == conn {
 		line, rest, err := conn.input.Next(data)
 		if err != nil {
-			m.failPoll(backend)
+			m.rejectPollAnswer(backend)
 			return
 		}
 		if line == nil {
@@ -86,6 +96,15 @@
 	m.queue.dispatcher.PollFinished(m.now, backend.id, ok, report)
 }
 
+// rejectPollAnswer fails the poll of a backend whose answer is too long.
+func (m *StateMachine) rejectPollAnswer(backend *backend) {
+	if m.now >= m.endpoints.nextErrorLogAt {
+		m.endpoints.nextErrorLogAt = m.now + errorLogInterval
+		m.log("answer to a poll too long", "backend", backend.Name, "limit bytes", maxPollAnswerBytes)
+	}
+	m.failPoll(backend)
+}
+
 // failPoll resets the poll connection. A poll that was not answered yet counts as failed.
 func (m *StateMachine) failPoll(backend *backend) {
 	conn := backend.pollConn
--- a/internal/relay/polling_test.go
+++ b/internal/relay/polling_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -47,3 +49,32 @@
 	assert.Empty(t, s.endpoints.byName, "a backend that is gone is removed")
 	assert.NotPanics(t, func() { s.Poll(7) }, "a poll requested before the removal")
 }
+
+// TestPollAnswerHasALargestSize guards against a backend whose answer to a poll never ends: the relay read it without a
+// bound, as lines behind the answer were ignored one by one.
+func TestPollAnswerHasALargestSize(t *testing.T) {
+	const line = "PONG x0=0.1|"
+	longest := strings.Repeat(line, maxPollAnswerBytes/(len(line)+1)) // | is CRLF
+	for _, c := range []struct {
+		name, answer, effects string
+		failed                bool
+	}{
+		{"one line", line, "", false},
+		{"as much as may be", longest, "", false},
+		{"more lines", longest + line, "reset s1", true},
+		{"a line that does not end", strings.Repeat("x", maxPollAnswerBytes), "reset s1", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newHarness(t, replacing(`"probes": false`, `"probes": true`), 0, "b1=active")
+			s.play(c.name, step{299, "tick", "dial s1 10.0.0.1:9000"}, step{300, "up s1", "write s1 STATS|"},
+				step{301, "came s1 " + c.answer, c.effects})
+			assert.Equal(t, c.failed, s.endpoints.byName["b1"].pollConn == nil)
+			assert.Equal(t, c.failed, slices.Contains(s.logs, "answer to a poll too long[backend b1 limit bytes 4096]"), s.logs)
+		})
+	}
+	s := newHarness(t, replacing(`"probes": false`, `"probes": true`), 0, "b1=active")
+	s.play("behind the answer, in pieces", step{299, "tick", "dial s1 10.0.0.1:9000"}, step{300, "up s1", "write s1 STATS|"},
+		step{301, "came s1 " + line, ""}, step{302, "came s1 " + longest[:len(longest)-len(line)], ""},
+		step{303, "came s1 " + line, "reset s1"})
+	s.play("the next poll has a connection of its own", step{1499, "tick", "dial s2 10.0.0.1:9000"})
+}
