--- a/cmd/valeshift-testbed/main.go
+++ b/cmd/valeshift-testbed/main.go
@@ -22,6 +22,7 @@
 	Hunt    huntCommand    `cmd:"" name:"hunt" help:"Draw experiments over a range of seeds, check the rules on each, shrink what breaks one."`
 	Check   checkCommand   `cmd:"" name:"check" help:"Read an experiment file, name the field that is wrong; play nothing."`
 	Cost    costCommand    `cmd:"" name:"cost" help:"Measure what a relay costs on loopback, beside a bare forwarder and direct connections."`
+	Flood   floodCommand   `cmd:"" name:"flood" help:"Measure the lines of usual sessions beside peers of a relay that send without pause."`
 	Forward forwardCommand `cmd:"" name:"forward" hidden:""`
 	Demo    demoCommand    `cmd:"" name:"demo" help:"Two relays, ten backends and a failure on loopback within 30 s, ending with a report."`
 }
--- a/internal/testbed/cost/backends.go
+++ b/internal/testbed/cost/backends.go
@@ -5,17 +5,20 @@
 	"bytes"
 	"fmt"
 	"net"
+	"sync/atomic"
 )
 
 // backends are stand-ins for backends, on loopback. They establish every session, echo its lines and answer load polls.
 type backends struct {
 	addresses []string
 	listeners []net.Listener
+
+	endlessPolls atomic.Int32 // how many backends, from the first on, answer load polls without end
 }
 
 func startBackends(count int) (*backends, error) {
 	b := &backends{}
-	for range count {
+	for index := range count {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.close()
@@ -23,7 +26,7 @@
 		}
 		b.addresses = append(b.addresses, listener.Addr().String())
 		b.listeners = append(b.listeners, listener)
-		go acceptSessions(listener)
+		go b.acceptSessions(listener, int32(index))
 	}
 	return b, nil
 }
@@ -34,22 +37,26 @@
 	}
 }
 
-// acceptSessions serves each accepted connection, until the listener is closed.
-func acceptSessions(listener net.Listener) {
+// acceptSessions serves each connection of one backend, until the listener is closed.
+func (b *backends) acceptSessions(listener net.Listener, index int32) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		go serveSession(conn)
+		go b.serveSession(conn, index)
 	}
 }
 
+const pollPrefix = "STATS"
+
+var pollAnswer = []byte("PONG cpu=0.001,rps=1,x0=0.001\r\n")
+
 // maxLineBytes is longer than any line that a measurement sends.
 const maxLineBytes = 512
 
-// serveSession answers the lines of a connection until it ends.
-func serveSession(conn net.Conn) {
+// serveSession answers the lines of a connection to a backend until it ends.
+func (b *backends) serveSession(conn net.Conn, index int32) {
 	defer conn.Close()
 	in := bufio.NewReaderSize(conn, maxLineBytes)
 	for {
@@ -57,8 +64,16 @@
 		if err != nil {
 			return
 		}
-		if _, err := conn.Write(answer(line)); err != nil {
-			return
+		switch {
+		case bytes.HasPrefix(line, []byte(pollPrefix)) && index < b.endlessPolls.Load():
+			writeEndlessly(conn, endlessPollAnswer)
+		case bytes.Equal(line, endlessRequest):
+			writeEndlessly(conn, endlessLine)
+		case bytes.Equal(line, unansweredLine):
+		default:
+			if _, err := conn.Write(answer(line)); err != nil {
+				return
+			}
 		}
 	}
 }
@@ -68,8 +83,8 @@
 	switch {
 	case bytes.HasPrefix(line, []byte("OPEN")):
 		return []byte("UP receipt\r\n")
-	case bytes.HasPrefix(line, []byte("STATS")):
-		return []byte("PONG cpu=0.001,rps=1,x0=0.001\r\n")
+	case bytes.HasPrefix(line, []byte(pollPrefix)):
+		return pollAnswer
 	default:
 		return line
 	}
--- a/internal/testbed/cost/path.go
+++ b/internal/testbed/cost/path.go
@@ -25,6 +25,9 @@
 	address func() string // returns the address for the next session
 	cmd     *exec.Cmd     // nil: the path has no process of its own
 	release func()        // stops the services that the process used; nil: there are none
+
+	admin     string     // address of the relay's admin API; empty for the other paths
+	discovery *discovery // the relay's discovery service; nil for the other paths
 }
 
 // directPath returns the path on which clients connect to backends directly, each time to a random one.
--- a/internal/testbed/cost/programs.go
+++ b/internal/testbed/cost/programs.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"valeshift/internal/testbed/experiment"
@@ -99,7 +100,12 @@
 	if err != nil {
 		return nil, err
 	}
-	configFile, err := writeRelayConfig(plan.Dir, address, discovery.address, list)
+	admin, err := loopback.AssignAddress(relayMachine)
+	if err != nil {
+		discovery.close()
+		return nil, err
+	}
+	configFile, err := writeRelayConfig(plan.Dir, address, admin, discovery.address, list)
 	if err != nil {
 		discovery.close()
 		return nil, err
@@ -116,6 +122,8 @@
 		return nil, err
 	}
 	relay.release = discovery.close
+	relay.admin = admin
+	relay.discovery = discovery
 	return relay, nil
 }
 
@@ -158,6 +166,7 @@
 type discovery struct {
 	address string
 	server  *http.Server
+	endless atomic.Bool // whether it sends the list again and again, without pause
 }
 
 // startDiscovery starts a discovery service that answers every watch with the list, followed by heartbeats. It runs
@@ -168,10 +177,14 @@
 		return nil, fmt.Errorf("start discovery: %w", err)
 	}
 	firstLine := append(slices.Clone(list), '\n')
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	d := &discovery{address: listener.Addr().String()}
+	d.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Write(firstLine)
 		for {
 			w.(http.Flusher).Flush()
+			for d.endless.Load() && r.Context().Err() == nil {
+				w.Write(firstLine)
+			}
 			select {
 			case <-time.After(heartbeatInterval):
 				w.Write([]byte("\n"))
@@ -180,8 +193,7 @@
 			}
 		}
 	})}
-	go server.Serve(listener)
-	d := &discovery{address: listener.Addr().String(), server: server}
+	go d.server.Serve(listener)
 	context.AfterFunc(ctx, d.close)
 	return d, nil
 }
@@ -190,6 +202,7 @@
 
 // relayConfig is the platform's configuration of a relay.
 type relayConfig struct {
+	Admin     string          `json:"ops"`
 	Discovery string          `json:"discovery"`
 	Known     json.RawMessage `json:"known"` // the endpoint list that the relay had last, as stored by the platform
 	Limits    relayLimits     `json:"limits"`
@@ -204,7 +217,7 @@
 }
 
 // writeRelayConfig writes the relay's configuration file and returns its path.
-func writeRelayConfig(dir, listen, discovery string, list []byte) (string, error) {
+func writeRelayConfig(dir, listen, admin, discovery string, list []byte) (string, error) {
 	x := experiment.Default()
 	x.Relays.Count = 1
 	x.Traffic = []experiment.Traffic{{Class: "chat", Tenant: "all", HardLimit: 3000, Load: 0.1, Rate: 1}}
@@ -212,6 +225,7 @@
 		return "", fmt.Errorf("relay settings: %w", err)
 	}
 	data, err := json.Marshal(relayConfig{
+		Admin:     admin,
 		Discovery: discovery,
 		Known:     list,
 		Limits:    relayLimits{Cores: 1},
