Testbed: the test of the command line's names knows flood

Change: the names of the command and its flags are held like the others'.

Measured: the tests of the command and of cost pass with the race detector.

--- a/cmd/valeshift-testbed/main_test.go
+++ b/cmd/valeshift-testbed/main_test.go
@@ -35,6 +35,7 @@
 		"check":   {"<file>"},
 		"cost":    {"--servers", "--clients", "--lasts", "--standing", "--every", "--idle", "--rounds", "--relay", "--json"},
 		"forward": {"<address>"},
+		"flood":   {"--kinds", "--peers", "--servers", "--lasts", "--standing", "--every", "--relay"},
 		"demo":    {"--relay", "--out"},
 	}, got)
 }
