Balancer: without load reports, sessions are placed in turn

Cause: where loads are not shares of a capacity, the limit is a multiple of the fleet's mean load. Without any report the mean is 0, and no session fits: every request was refused, and where reports come with answers alone, the first one never came.

Change: there is no such limit while no backend has reported a load and polls will tell none.

--- a/balancer/assignment.go
+++ b/balancer/assignment.go
@@ -144,13 +144,23 @@
 		s.preferredZoneLimit = s.limit
 	}
 	if !b.poller.reports.hasAbsoluteLoad {
-		s.limit = relativeLoadLimit * max(b.fleet.meanLoad, negligibleLoad)
+		s.limit = b.relativeLimit()
 		s.preferredZoneLimit = s.limit
 		s.lightLimit = s.limit
 	}
 	return s
 }
 
+// relativeLimit returns the load at which a backend is full if loads are not shares of a capacity. There is no limit
+// where no backend has reported a load and none will before it gets sessions: sessions are then placed in turn, with
+// equal weights, and backends reject what they can't serve.
+func (b *Balancer) relativeLimit() float64 {
+	if !b.fleet.reportsLoad && !b.poller.learnsLoads() {
+		return math.Inf(1)
+	}
+	return relativeLoadLimit * max(b.fleet.meanLoad, negligibleLoad)
+}
+
 // isEligible reports whether the session may be assigned to the backend if it has room, which is not checked here.
 func (s *selection) isEligible(backend int) bool {
 	b := s.balancer
--- a/balancer/load_poller.go
+++ b/balancer/load_poller.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// learnsLoads reports whether polls tell the loads of backends that have no sessions.
+func (p *LoadPoller) learnsLoads() bool { return p.enabled && p.reports.canRead() }
+
 // grow adds a backend.
 func (p *LoadPoller) grow() {
 	p.polls.grow()
--- a/balancer/load_reports.go
+++ b/balancer/load_reports.go
@@ -14,6 +14,9 @@
 
 const absoluteFields = 2
 
+// noLoadField is the index of the field if no load can be read from a report.
+const noLoadField = math.MaxInt
+
 // defaultMaxReportAge is the highest age of a report, in milliseconds, that is assumed until one is set.
 const defaultMaxReportAge = 1500.0
 
@@ -34,9 +37,12 @@
 			return loadReports{field: i, hasAbsoluteLoad: rank < absoluteFields, maxAge: defaultMaxReportAge}
 		}
 	}
-	return loadReports{field: math.MaxInt, maxAge: defaultMaxReportAge} // no load can be read from a report
+	return loadReports{field: noLoadField, maxAge: defaultMaxReportAge}
 }
 
+// canRead reports whether a load can be read from a report.
+func (r *loadReports) canRead() bool { return r.field != noLoadField }
+
 // grow adds a backend.
 func (r *loadReports) grow() {
 	r.loads = append(r.loads, math.NaN())
--- a/balancer/weights.go
+++ b/balancer/weights.go
@@ -40,6 +40,7 @@
 // refreshed.
 type fleetEstimate struct {
 	meanLoad           float64 // mean load of the healthy backends that report one
+	reportsLoad        bool    // at least one healthy backend reports its load
 	capacityBySessions float64 // capacity of a backend, in session load, by this relay's own sessions alone
 	capacity           float64 // capacity of a warm backend, in session load; 0: unknown
 }
@@ -52,6 +53,7 @@
 	}
 	totals := b.sumFleet(now)
 	b.fleet.meanLoad = totals.estimatedLoad / max(totals.reporting, 1)
+	b.fleet.reportsLoad = totals.reporting > 0
 	b.refreshCapacity(totals)
 	for backend, state := range b.states {
 		b.roundRobin.bucketCounts[backend] = 0
