Failover: an order to hold a zone no longer ends with the history

Cause: the state to hold was read from the decision on the order, which leaves the history after 30 further ones.

Change: the decision log stores the held state until the order ends; the field is absent where nothing is held, and logs of an older version are read as before.

--- a/internal/failover/decisionlog.go
+++ b/internal/failover/decisionlog.go
@@ -45,6 +45,15 @@
 	Demand      map[string]float64 `json:"Demand"` // demand of each zone when the policy decided
 	Capacity    map[string]float64 `json:"Room"`   // capacity of each zone then, in the unit of demand
 	History     []Decision         `json:"History"`
+
+	// Held has, by the ID of an order to hold a zone, the state that the zone had when the order was applied.
+	Held map[string]HeldZone `json:"Held,omitempty"`
+}
+
+// HeldZone is the state and share that an order holds a zone in.
+type HeldZone struct {
+	State State   `json:"State"`
+	Share float64 `json:"Share"` // share of its local traffic that the zone serves itself, 0 to 1
 }
 
 // EffectiveZones returns the decision in force: the policy's, overridden by the operators' orders.
@@ -101,9 +110,7 @@
 	l.PolicyZones = command.Zones
 	l.Demand = command.Demand
 	l.Capacity = command.Capacity
-	l.Orders = slices.DeleteFunc(l.Orders, func(o OperatorOrder) bool {
-		return !containsZone(command.Zones, o.Zone)
-	})
+	l.dropOrders(func(o OperatorOrder) bool { return !containsZone(command.Zones, o.Zone) })
 	return nil
 }
 
--- a/internal/failover/decisionlog_test.go
+++ b/internal/failover/decisionlog_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -57,6 +58,34 @@
 	assert.Equal(t, errUnreadableCommand.Error(), s.latestDecision().Rejection)
 }
 
+// TestHoldOutlivesTheHistory guards against a hold that ends by itself: the state to hold was read from the history, which
+// keeps 30 decisions, so that after 30 further ones the zone went back to what the policy said.
+func TestHoldOutlivesTheHistory(t *testing.T) {
+	s := newSimulation(t, 12)
+	s.runUntil(3000)
+	apply := func(id, zone string, action OrderAction) {
+		t.Helper()
+		order := OperatorOrder{ID: id, Zone: zone, Action: action, Reason: "work", IssuedBy: "x"}
+		require.Empty(t, s.apply(Command{Order: &order, Cause: CauseOrdered(order)}).Rejection)
+	}
+	apply("empty", "b", ActionEmpty)
+	apply("hold", "b", ActionHold)
+	require.Equal(t, "b emptied", s.states())
+	for i := range maxHistory + 2 {
+		apply(fmt.Sprint("other ", i), "c", ActionReturn)
+	}
+	assert.Equal(t, "b emptied", s.states())
+
+	assert.Contains(t, string(s.log.Snapshot()), `"Held":{"hold":{"State":"emptied","Share":0}}`, "the stored form")
+	restored := &DecisionLog{}
+	require.NoError(t, restored.Restore(s.log.Snapshot()))
+	assert.Equal(t, s.log.EffectiveZones(), restored.EffectiveZones(), "a coordinator that restarts holds it, too")
+
+	require.Empty(t, s.apply(Command{ExpiredOrderID: "hold", Cause: CauseOrderExpired}).Rejection)
+	assert.Empty(t, s.states(), "the policy decides again")
+	assert.Empty(t, s.log.Held)
+}
+
 func TestRestoreOfDamagedSnapshot(t *testing.T) {
 	log := &DecisionLog{Number: 7}
 	require.Error(t, log.Restore([]byte("{")))
--- a/internal/failover/order.go
+++ b/internal/failover/order.go
@@ -55,11 +55,34 @@
 	if err := order.checkAction(zones); err != nil {
 		return err
 	}
-	l.Orders = slices.DeleteFunc(l.Orders, func(o OperatorOrder) bool { return o.Zone == order.Zone })
+	l.dropOrders(func(o OperatorOrder) bool { return o.Zone == order.Zone })
 	l.Orders = append(l.Orders, order)
+	if order.Action == ActionHold {
+		l.hold(order, zones)
+	}
 	return nil
 }
 
+// hold keeps the state that the order's zone has now for as long as the order is in force.
+func (l *DecisionLog) hold(order OperatorOrder, zones []Zone) {
+	index := slices.IndexFunc(zones, func(z Zone) bool { return z.Name == order.Zone })
+	if l.Held == nil {
+		l.Held = map[string]HeldZone{}
+	}
+	l.Held[order.ID] = HeldZone{State: zones[index].State, Share: zones[index].Share}
+}
+
+// dropOrders removes the orders for which isDropped is true, and what they hold.
+func (l *DecisionLog) dropOrders(isDropped func(OperatorOrder) bool) {
+	l.Orders = slices.DeleteFunc(l.Orders, func(order OperatorOrder) bool {
+		if !isDropped(order) {
+			return false
+		}
+		delete(l.Held, order.ID)
+		return true
+	})
+}
+
 // checkAction returns an error if the action is unknown, or would empty the last zone that serves without force.
 func (o *OperatorOrder) checkAction(zones []Zone) error {
 	switch o.Action {
@@ -79,7 +102,7 @@
 // removeOrder removes the order with the given ID.
 func (l *DecisionLog) removeOrder(id string) error {
 	before := len(l.Orders)
-	l.Orders = slices.DeleteFunc(l.Orders, func(o OperatorOrder) bool { return o.ID == id })
+	l.dropOrders(func(o OperatorOrder) bool { return o.ID == id })
 	if len(l.Orders) == before {
 		return errUnknownOrder
 	}
@@ -120,9 +143,13 @@
 	}
 }
 
-// heldState returns the state and share that a zone had when the order to hold it was applied. If the history
-// no longer contains that decision, it returns those that the policy decided last.
+// heldState returns the state and share that a zone had when the order to hold it was applied. For an order that an older
+// version applied, it returns those in the decision on the order, or if the history no longer contains that decision,
+// those that the policy decided last.
 func (l *DecisionLog) heldState(order *OperatorOrder, zone Zone) (State, float64) {
+	if held, isHeld := l.Held[order.ID]; isHeld {
+		return held.State, held.Share
+	}
 	for _, decision := range slices.Backward(l.History) {
 		if decision.OrderID != order.ID || decision.Rejection != "" {
 			continue
