Failover: a spilling zone takes its traffic back without another home zone

Cause: a zone's share changed only while another zone was home, also when it was to be raised.

Change: only lowering the share needs another home zone.

Measured: TestSpillingEndsWithoutAnotherHome failed before. Tests of failover and coordinator pass.

--- a/internal/failover/traffic.go
+++ b/internal/failover/traffic.go
@@ -22,7 +22,7 @@
 }
 
 // updateZoneSpilling updates the share of one zone if it is home or spilling, and reports whether it changed.
-// The share stays as it is while no other zone is home.
+// The share is not lowered while no other zone is home.
 func (p *Policy) updateZoneSpilling(now float64, zones []Zone, index int, demand float64) (changed bool) {
 	zone := &zones[index]
 	if zone.State != Home && zone.State != Spilling {
@@ -43,7 +43,10 @@
 		return false
 	}
 	shareMismatch.update(now, true)
-	if now < shareMismatch.since+spillDelay || !hasOtherHome(zones, index) {
+	if now < shareMismatch.since+spillDelay {
+		return false
+	}
+	if share < zone.Share && !hasOtherHome(zones, index) {
 		return false
 	}
 	shareMismatch.reset()
--- a/internal/failover/traffic_test.go
+++ b/internal/failover/traffic_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // Traffic for which a zone has no capacity goes to other zones of its region first. The zone serves all its local
@@ -36,6 +37,26 @@
 	assert.Empty(t, s.states(), "the zone is home again, as it has capacity")
 }
 
+// TestSpillingEndsWithoutAnotherHome guards against zones that go on diverting traffic they have capacity for: while no other
+// zone was home, a spilling zone kept its share also when its load had fallen.
+func TestSpillingEndsWithoutAnotherHome(t *testing.T) {
+	s := newSimulation(t, 36)
+	load := 16.0
+	s.load = func(_ float64, zone string) float64 {
+		if zone == "f" {
+			return normalZoneLoad
+		}
+		return load
+	}
+	s.runUntil(9000)
+	s.failureRate = zoneFails("f", 1, 9000, forever)
+	s.runUntil(16000)
+	require.Equal(t, "a spilling, b spilling, c spilling, d spilling, e spilling, f emptied", s.states())
+	load = normalZoneLoad
+	s.runUntil(22000)
+	assert.Equal(t, "f emptied", s.states())
+}
+
 // Diverted traffic goes to the same region first, as far as the zones there have spare capacity, then to other
 // regions. The rest is unserved.
 func TestDivert(t *testing.T) {
