Store: a record that is put while the store closes gets its outcome

Cause: Close flushed first and closed then; a record put in between was queued for a flush that never came, and its done function was never called.

Change: the store is closed to further records before its last flush.

Measured: TestPutWhileClosing failed before. Tests of store and fleet pass.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -180,12 +180,12 @@
 	return nil
 }
 
-// Close flushes the queued records and releases the folder.
+// Close accepts no further records, flushes the queued ones and releases the folder.
 func (s *Store) Close() error {
-	err := s.Flush()
 	s.mutex.Lock()
 	s.closed = true
 	s.mutex.Unlock()
+	err := s.Flush()
 	s.diskMutex.Lock()
 	defer s.diskMutex.Unlock()
 	if s.file != nil {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -209,6 +209,21 @@
 	}
 }
 
+// TestPutWhileClosing guards against a caller that waits without end: a record that was put between the last flush and the
+// close was queued, and its done function was never called.
+func TestPutWhileClosing(t *testing.T) {
+	s, _, err := Open(NewMemoryFS(), "own", 1<<20)
+	require.NoError(t, err)
+	var outcomes []error
+	s.Put(Record{Kind: KindReplica, Key: "queued", Body: []byte("x")}, func(err error) {
+		outcomes = append(outcomes, err)
+		s.Put(Record{Kind: KindReplica, Key: "late", Body: []byte("x")}, func(err error) { outcomes = append(outcomes, err) })
+	})
+	require.NoError(t, s.Close())
+	assert.Equal(t, []error{ErrClosed, nil}, []error{outcomes[len(outcomes)-1], outcomes[0]})
+	assert.Len(t, outcomes, 2)
+}
+
 func TestFolderHasOneOwner(t *testing.T) {
 	disk := NewMemoryFS()
 	s, recovery := open(t, disk)
