Replication: check histories with unknown outcomes, and fill all partitions

Cause: checkHistories passed over a record's whole history if one acquisition had not ended or had failed, which is where a second use would be likeliest. IDs of records had their lowest bit set, so that 32 of the 64 partitions stayed empty.

Change: an acquisition without a known outcome may take effect at any time or never, and the rest of the history is checked beside it. IDs are any number but 0.

--- a/internal/replication/fleet_test.go
+++ b/internal/replication/fleet_test.go
@@ -307,17 +307,16 @@
 			f.violations = append(f.violations, key+": another record than the replicated one was acquired")
 		}
 	}
-	used := errors.Is(o.Err, errAlreadyUsed)
-	if found || used {
-		history.operations = append(history.operations, porcupine.Operation{
-			ClientId: len(history.operations),
-			Input:    "acquire",
-			Output:   found,
-			Call:     int64(since * 1000),
-			Return:   int64(f.now*1000) + 1,
-		})
+	outcome, until := unknown, math.Inf(1)
+	switch {
+	case found:
+		outcome, until = acquired, f.now
+	case errors.Is(o.Err, errAlreadyUsed):
+		outcome, until = alreadyUsed, f.now
+	default:
+		history.inconclusive = true
 	}
-	history.inconclusive = history.inconclusive || !found && !used
+	history.operations = append(history.operations, newAcquisition(len(history.operations), outcome, since, until))
 }
 
 // runUntil runs the simulation up to a point in time.
@@ -475,15 +474,27 @@
 	}
 }
 
+// Outcomes of an acquisition in a history.
+const (
+	acquired    = "acquired"
+	alreadyUsed = "already used"
+	unknown     = "unknown" // it has not ended, or has failed: it may take effect at any time, or never
+)
+
 // singleUseModel is the model for the linearizability check of each record's history: one operation acquires the
-// record, and every later one finds it used.
+// record, and every later one finds it used. An operation whose outcome is unknown may have acquired it; if it has not,
+// it counts as the last one.
 var singleUseModel = porcupine.Model{
 	Init: func() any { return false },
-	Step: func(state, _, output any) (bool, any) {
-		if output == true {
-			return state == false, true
+	Step: func(isUsed, _, outcome any) (bool, any) {
+		switch outcome {
+		case acquired:
+			return isUsed == false, true
+		case alreadyUsed:
+			return isUsed == true, true
+		default:
+			return true, true
 		}
-		return state == true, true
 	},
 }
 
@@ -492,21 +503,21 @@
 	for _, key := range slices.Sorted(maps.Keys(f.histories)) {
 		history := f.histories[key]
 		operations := slices.Clone(history.operations)
-		for _, since := range history.pendingSince { // without an outcome, it may have used the record at any time
-			operations = append(operations, porcupine.Operation{
-				ClientId: len(operations),
-				Input:    "acquire",
-				Output:   true,
-				Call:     int64(since * 1000),
-				Return:   math.MaxInt64,
-			})
-		}
-		if history.inconclusive {
-			continue // a failed acquisition may have used the record
+		for _, since := range history.pendingSince {
+			operations = append(operations, newAcquisition(len(operations), unknown, since, math.Inf(1)))
 		}
-		if len(history.pendingSince) == 0 && !porcupine.CheckOperations(singleUseModel, operations) {
+		if !porcupine.CheckOperations(singleUseModel, operations) {
 			f.violations = append(f.violations, fmt.Sprintf("%s: history is not linearizable: %+v", key, operations))
 		}
 	}
 	return f.violations
 }
+
+// newAcquisition returns an acquisition for a history. It takes effect from one time to the other, in milliseconds.
+func newAcquisition(client int, outcome string, from, to float64) porcupine.Operation {
+	last := int64(math.MaxInt64)
+	if !math.IsInf(to, 1) {
+		last = int64(to*1000) + 1
+	}
+	return porcupine.Operation{ClientId: client, Input: "acquire", Output: outcome, Call: int64(from * 1000), Return: last}
+}
--- a/internal/replication/operation.go
+++ b/internal/replication/operation.go
@@ -99,7 +99,7 @@
 }
 
 // newToken returns a random token for an operation, or ID for a record. It is never 0.
-func (r *Replicator) newToken() uint64 { return r.rng.Uint64() | 1 }
+func (r *Replicator) newToken() uint64 { return max(r.rng.Uint64(), 1) }
 
 // startPhase sends the request of the operation's current phase to all targets.
 func (r *Replicator) startPhase(now float64, op *operation) []Action {
