Relay: connections are added to the poller between two batches of events

Cause: nbio looks up an event's connection by its descriptor as it comes to the event in its batch.

Change: accepted, dialed and received connections are added after the batch in which they came, marked by an event of the driver's own; at most four accepted clients wait for that. Two descriptors more a process.

--- a/internal/relay/accept.go
+++ b/internal/relay/accept.go
@@ -9,7 +9,10 @@
 	"time"
 )
 
-const acceptRetryDelay = 20 * time.Millisecond // wait after a failed accept
+const (
+	acceptRetryDelay   = 20 * time.Millisecond // wait after a failed accept
+	maxAcceptsInFlight = 4                     // clients that are accepted and not known to the state machine yet
+)
 
 // acceptClients runs the accept loop until the relay exits. nbio's own listener is not used, because it retries without
 // a delay and so spins when no descriptors are left.
--- a/internal/relay/closing.go
+++ b/internal/relay/closing.go
@@ -187,7 +187,7 @@
 // finish answers the clients that have no answer yet, and waits for clients to receive the last answers.
 func (d *driver) finish() {
 	d.closeListener()
-	d.waitFor(finalCloseTimeout, func() bool { return d.machine.isIdle() })
+	d.waitFor(finalCloseTimeout, func() bool { return len(d.accept.inFlight) == 0 && d.machine.isIdle() })
 	d.handle(ProcessExiting{})
 	d.waitFor(finalWriteTimeout, func() bool { return d.unsentBytes() == 0 })
 	d.waitFor(finalCloseTimeout, func() bool { return len(d.closing) == 0 })
--- a/internal/relay/driver.go
+++ b/internal/relay/driver.go
@@ -31,6 +31,7 @@
 	metrics   *publishedMetrics // nil if there is no admin API
 	exit      chan struct{}     // closed by the Exit effect
 	workers   workerPool
+	batches   batchBoundary
 	transfers transferChannel // sends sessions to a child process
 	listener  *net.TCPListener
 	slot      *hotrestart.Slot // nil without a shared listening socket, or if no slot could be acquired
@@ -62,6 +63,8 @@
 	ending  bool          // the relay is exiting: only clients already in the listen backlog are still accepted
 	changed *sync.Cond    // uses the driver's mutex; broadcast when paused or ending changes
 	done    chan struct{} // closed when the accept loop returns
+
+	inFlight chan struct{} // has an element for each accepted client that is not added yet
 }
 
 // siblingState is the result of the last check for other processes of this relay.
@@ -161,7 +164,7 @@
 		sockets:     map[uint64]*socket{},
 		dials:       map[uint64]*pendingDial{},
 		exit:        make(chan struct{}),
-		accept:      acceptState{done: make(chan struct{})},
+		accept:      acceptState{done: make(chan struct{}), inFlight: make(chan struct{}, maxAcceptsInFlight)},
 	}
 	d.accept.changed = sync.NewCond(&d.mutex)
 	d.discovery = newDiscoveryWatch(d.handle)
@@ -178,13 +181,13 @@
 	d.engine = nbio.NewEngine(nbio.Config{NPoller: 1, ReadBufferSize: readBufferBytes,
 		MaxWriteBufferSize: maxUnsentBytes})
 	buffer := make([]byte, readBufferBytes) // there is one poller, so all connections can share it
-	d.engine.OnRead(func(nbConn *nbio.Conn) { d.readAvailable(nbConn, buffer) })
+	d.engine.OnRead(func(nbConn *nbio.Conn) { d.onReadable(nbConn, buffer) })
 	d.engine.OnClose(d.onClose)
 	d.engine.OnWrittenSize(d.onWritten)
 	if err := d.engine.Start(); err != nil {
 		return fmt.Errorf("start poller: %w", err)
 	}
-	return nil
+	return d.batches.open(d.engine)
 }
 
 // run handles signals and periodic checks until the Exit effect, and then answers the remaining clients.
--- a/internal/relay/driver_harness_test.go
+++ b/internal/relay/driver_harness_test.go
@@ -23,7 +23,8 @@
 func newTestDriver(t *testing.T) (d *driver, connect func() (*socket, net.Conn)) {
 	t.Helper()
 	listener := listenWithSmallBuffer(t)
-	d = &driver{sockets: map[uint64]*socket{}, dials: map[uint64]*pendingDial{}}
+	d = &driver{sockets: map[uint64]*socket{}, dials: map[uint64]*pendingDial{},
+		accept: acceptState{inFlight: make(chan struct{}, maxAcceptsInFlight)}}
 	d.engine = nbio.NewEngine(nbio.Config{NPoller: 1, MaxWriteBufferSize: maxUnsentBytes})
 	d.engine.OnWrittenSize(d.onWritten)
 	d.engine.OnClose(func(nbConn *nbio.Conn, _ error) {
@@ -94,9 +95,10 @@
 			close(polling)
 			return
 		}
-		d.readAvailable(nbConn, buffer)
+		d.onReadable(nbConn, buffer)
 	})
 	require.NoError(t, d.engine.Start())
+	require.NoError(t, d.batches.open(d.engine))
 	probe, accepted := connectPair(t, listener)
 	_, err := d.engine.AddConn(accepted)
 	require.NoError(t, err)
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -10,7 +10,7 @@
 const (
 	descriptorsPerSession = 2  // one for the client, one for the backend
 	spareDescriptors      = 32 // descriptors kept for the listener, polls, the watch and dials
-	siblingDescriptors    = 18 // needed by a process without connections: 13 when idle, the watch, the sibling channel
+	siblingDescriptors    = 20 // needed by a process without connections: 15 when idle, the watch and calls beside it, the sibling channel
 	awaitingDivisor       = 8  // clients without a request may hold one in this many descriptors
 	minAwaiting           = 4  // least number of descriptors for clients without a request
 )
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -38,15 +38,18 @@
 		}
 		return false, nil
 	}
+	startPolling := func() {
+		d.batches.afterBatch(func() {
+			d.mutex.Lock()
+			defer d.mutex.Unlock()
+			d.startPolling(both)
+		})
+	}
 	if !session.ConfirmsRelease {
-		d.startPolling(both)
+		startPolling()
 		return true, nil
 	}
-	return true, func() {
-		d.mutex.Lock()
-		defer d.mutex.Unlock()
-		d.startPolling(both)
-	}
+	return true, startPolling
 }
 
 // offerSession has the state machine decide on a session that the parent sends, and reports whether it takes the session
--- a/internal/relay/sockets.go
+++ b/internal/relay/sockets.go
@@ -47,14 +47,24 @@
 	deferredWrites []byte // data to write once it is released, included in unsent
 }
 
-// addAccepted adds a client's connection and reports it to the state machine. nbio polls it by then, because the effects
-// of the event may already write to it. Data that arrives in between waits for the lock, and so comes after the event.
+// addAccepted adds a client's connection, after the poller's batch, and reports it to the state machine. It waits while
+// maxAcceptsInFlight clients are not added yet, as the state machine limits how many are accepted by those that it knows.
 func (d *driver) addAccepted(netConn net.Conn) {
 	nbConn, err := nbio.NBConn(netConn)
 	if err != nil {
 		netConn.Close()
 		return
 	}
+	d.accept.inFlight <- struct{}{}
+	d.batches.afterBatch(func() {
+		d.addClient(nbConn)
+		<-d.accept.inFlight
+	})
+}
+
+// addClient adds a client's connection and reports it to the state machine. nbio polls it by then, because the effects of
+// the event may already write to it. Data that arrives in between waits for the lock, and so comes after the event.
+func (d *driver) addClient(nbConn *nbio.Conn) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.lastClientConn++
@@ -65,22 +75,28 @@
 	d.handleLocked(ConnAccepted{Conn: c.conn})
 }
 
-// addDialed adds a connection whose dial has succeeded and reports it to the state machine, unless the dial was canceled
-// in the meantime. If the client that it is for has closed its connection, that is reported first, as the poller may not
-// have noticed yet: nothing is sent for a client that has left.
+// addDialed adds a connection whose dial has succeeded and reports it to the state machine.
 func (d *driver) addDialed(conn, forClient uint64, netConn net.Conn) {
 	nbConn, err := nbio.NBConn(netConn)
+	if err != nil {
+		netConn.Close()
+	}
+	d.batches.afterBatch(func() { d.addBackendConn(conn, forClient, nbConn, err) })
+}
+
+// addBackendConn adds a connection whose dial has succeeded, unless err says why it can't be added, and reports it to the
+// state machine, unless the dial was canceled in the meantime. If the client that it is for has closed its connection,
+// that is reported first, as the poller may not have noticed yet: nothing is sent for a client that has left.
+func (d *driver) addBackendConn(conn, forClient uint64, nbConn *nbio.Conn, err error) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	_, wanted := d.dials[conn]
 	delete(d.dials, conn)
-	switch {
-	case err != nil:
-		netConn.Close()
-	case !wanted:
+	if err == nil && !wanted {
 		nbConn.Close()
 		return
-	default:
+	}
+	if err == nil {
 		err = d.addPolled(&socket{conn: conn, nbConn: nbConn})
 	}
 	if err != nil {
@@ -118,6 +134,13 @@
 	return nil
 }
 
+// onReadable is nbio's read callback.
+func (d *driver) onReadable(nbConn *nbio.Conn, buffer []byte) {
+	if !d.batches.handleEvent(nbConn) {
+		d.readAvailable(nbConn, buffer)
+	}
+}
+
 // readAvailable reads the available data, up to the end of the stream or the reset that may follow it, but no more than
 // maxTurnBytes from a peer that may send more: the poller reports what is left again, after the other connections had
 // their turn.
